Add design page, package skeleton, store layer and shared interfaces

Cause: every other part is built against these modules. Change: design page with the choices weighed; kernel, clock, parameter constraints; store client, single-writer log, instance lease, ownership; typed configuration, scheduling model, worker and peer interfaces. Conclusion: the slot-per-batch log fences a predecessor without a clock.

--- /dev/null
+++ b/magnoliaglade/membership/_view.py
@@ -0,0 +1,70 @@
+"""Views of the entry instances and rendezvous hashing over them."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+from magnoliaglade.types import InstanceId, ZoneId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Member:
+    """A registered entry instance.
+
+    Attributes:
+        instance: its id.
+        incarnation: differs after every restart.
+        zone: its availability zone.
+        peer_address: `host:port` of its peer listener.
+        http_address: `host:port` of its HTTP interface.
+    """
+
+    instance: InstanceId
+    incarnation: str
+    zone: ZoneId
+    peer_address: str
+    http_address: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class View:
+    """The registered entry instances at one store revision.
+
+    Attributes:
+        version: revision of the store at which the registrations were read
+            that last changed.
+        members: by instance id.
+    """
+
+    version: int = 0
+    members: tuple[Member, ...] = ()
+
+    @property
+    def instances(self) -> tuple[InstanceId, ...]:
+        """Ids of the members, sorted."""
+        return tuple(sorted(m.instance for m in self.members))
+
+    @property
+    def majority(self) -> int:
+        """Smallest number of members that is more than half."""
+        return len(self.members) // 2 + 1
+
+    def member(self, instance: InstanceId) -> Member | None:
+        """Returns a member by id, or None."""
+        return next((m for m in self.members if m.instance == instance), None)
+
+
+def rendezvous_order(
+    key: str, instances: Iterable[InstanceId]
+) -> list[InstanceId]:
+    """Orders instances for a key by highest-random-weight hashing.
+
+    When an instance joins or leaves, only the keys change hands for which it
+    is first.
+    """
+    return sorted(instances, key=lambda i: (_weight(key, i), i), reverse=True)
+
+
+def _weight(key: str, instance: InstanceId) -> bytes:
+    data = f"{key}\0{instance}".encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
--- /dev/null
+++ b/magnoliaglade/peers/__init__.py
@@ -0,0 +1,30 @@
+"""Messages between entry instances."""
+
+from magnoliaglade.peers._local import LocalHub, LocalPeers
+from magnoliaglade.peers.base import (
+    Message,
+    MessageError,
+    PeerError,
+    PeerNetwork,
+    PeerRefusedError,
+    PeerUnknownError,
+    PeerUnreachableError,
+    decode_message,
+    encode_message,
+    message,
+)
+
+__all__ = [
+    "LocalHub",
+    "LocalPeers",
+    "Message",
+    "MessageError",
+    "PeerError",
+    "PeerNetwork",
+    "PeerRefusedError",
+    "PeerUnknownError",
+    "PeerUnreachableError",
+    "decode_message",
+    "encode_message",
+    "message",
+]
--- /dev/null
+++ b/magnoliaglade/peers/_local.py
@@ -0,0 +1,113 @@
+"""Peer network in one process: the fake for tests of other subpackages."""
+
+from typing import Any
+
+import msgpack
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.peers import base
+from magnoliaglade.types import InstanceId
+
+
+class LocalHub:
+    """Connects `LocalPeers` and cuts links between them on demand."""
+
+    def __init__(self, *, clock: clock_lib.Clock) -> None:
+        self.clock = clock
+        self.members: dict[InstanceId, LocalPeers] = {}
+        self.cuts: set[tuple[InstanceId, InstanceId]] = set()
+        self.lost_replies = 0
+
+    def cut(self, a: InstanceId, b: InstanceId) -> None:
+        """Drops everything between two instances, both ways."""
+        self.cuts |= {(a, b), (b, a)}
+
+    def heal(self) -> None:
+        """Restores all links."""
+        self.cuts.clear()
+
+    def remove(self, instance: InstanceId) -> None:
+        """Removes an instance, as when its process dies."""
+        self.members.pop(instance, None)
+
+    def reaches(self, sender: InstanceId, receiver: InstanceId) -> bool:
+        """Tells whether messages pass from sender to receiver."""
+        return receiver in self.members and (sender, receiver) not in self.cuts
+
+
+class LocalPeers:
+    """One instance's view of a `LocalHub`; see `peers.PeerNetwork`.
+
+    Messages pass through the wire encoding, so a field that msgpack cannot
+    carry fails here as well.
+    """
+
+    def __init__(self, *, hub: LocalHub, instance: InstanceId) -> None:
+        self.hub = hub
+        self._instance = instance
+        self._handlers: dict[type[base.Message], base.Handler] = {}
+        hub.members[instance] = self
+
+    @property
+    def instance(self) -> InstanceId:
+        """This instance."""
+        return self._instance
+
+    @property
+    def live_peers(self) -> frozenset[InstanceId]:
+        """Peers with a link in both directions."""
+        return frozenset(
+            m
+            for m in self.hub.members
+            if m != self._instance and self.hub.reaches(self._instance, m)
+        )
+
+    def handle(self, cls: type[base.Message], handler: base.Handler) -> None:
+        """Sets the handler of a message type."""
+        self._handlers[cls] = handler
+
+    async def send(self, peer: InstanceId, value: base.Message) -> None:
+        """Delivers without a reply."""
+        self._check(peer)
+        await self.hub.members[peer].receive(self._instance, value)
+
+    async def request(
+        self, peer: InstanceId, value: base.Message, *, timeout_s: float
+    ) -> Any:
+        """Delivers and returns the reply."""
+        self._check(peer)
+        call = self.hub.members[peer].receive(self._instance, value)
+        try:
+            reply = await self.hub.clock.wait_for(call, timeout_s)
+        except TimeoutError as error:
+            raise base.PeerUnknownError(f"{peer}: {error}") from error
+        if self.hub.lost_replies > 0:
+            self.hub.lost_replies -= 1
+            raise base.PeerUnknownError(f"{peer}: reply lost")
+        return reply
+
+    async def broadcast(self, value: base.Message) -> None:
+        """Delivers to every live peer."""
+        for peer in sorted(self.live_peers):
+            await self.send(peer, value)
+
+    async def receive(self, sender: InstanceId, value: base.Message) -> Any:
+        """Decodes a copy of the message and runs its handler."""
+        copy = base.decode_message(*_roundtrip(value))
+        handler = self._handlers.get(type(copy))
+        if handler is None:
+            raise base.PeerRefusedError(f"no handler for {type(copy).__name__}")
+        reply = await handler(sender, copy)
+        if reply is None:
+            return None
+        return base.decode_message(*_roundtrip(reply))
+
+    def _check(self, peer: InstanceId) -> None:
+        alive = self._instance in self.hub.members
+        if not alive or not self.hub.reaches(self._instance, peer):
+            raise base.PeerUnreachableError(str(peer))
+
+
+def _roundtrip(value: base.Message) -> tuple[str, Any]:
+    name, payload = base.encode_message(value)
+    return name, msgpack.unpackb(msgpack.packb(payload), use_list=False)
--- /dev/null
+++ b/magnoliaglade/standins/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-ins of the platform for tests and demonstrations."""
+
+from magnoliaglade.standins._faulty_store import FaultyStore
+
+__all__ = ["FaultyStore"]
--- /dev/null
+++ b/magnoliaglade/store/_lease.py
@@ -0,0 +1,171 @@
+"""The lease under which an instance holds its registration and its domains."""
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+from collections.abc import Callable
+from typing import Any
+
+from magnoliaglade import base
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.store import _errors
+from magnoliaglade.store.base import Store
+from magnoliaglade.types import LeaseId
+
+INSTANCE_LEASE_TTL_S = 4.0
+INSTANCE_LEASE_RENEW_S = 1.0
+# The holder stops acting this long before the store can give the lease away.
+LEASE_MARGIN_S = 0.5
+
+
+class LeaseState(enum.Enum):
+    """State of the lease on the holder's clock."""
+
+    ABSENT = "absent"
+    HELD = "held"
+    LAPSED = "lapsed"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Held:
+    lease: LeaseId
+    valid_until_s: float
+
+
+class InstanceLease(base.Component):
+    """Acquires and renews one store lease; validity is counted locally.
+
+    Validity is counted from before a renewal was sent, less a margin, so the
+    holder considers the lease lapsed before the store can. A lapsed lease is
+    replaced by a new one; keys held under the old one are gone with it.
+    """
+
+    _parameter_constraints = {
+        "ttl_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "renew_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "margin_s": [base.Interval(kind=float, low=0)],
+    }
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        clock: clock_lib.Clock,
+        ttl_s: float = INSTANCE_LEASE_TTL_S,
+        renew_s: float = INSTANCE_LEASE_RENEW_S,
+        margin_s: float = LEASE_MARGIN_S,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.ttl_s = ttl_s
+        self.renew_s = renew_s
+        self.margin_s = margin_s
+        self._held: _Held | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._listeners: list[Callable[[LeaseId], None]] = []
+
+    @property
+    def state(self) -> LeaseState:
+        """State on the holder's clock."""
+        if self._held is None:
+            return LeaseState.ABSENT
+        if self.clock.now() >= self._held.valid_until_s:
+            return LeaseState.LAPSED
+        return LeaseState.HELD
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the holder may act under the lease now."""
+        return self.state is LeaseState.HELD
+
+    @property
+    def lease(self) -> LeaseId | None:
+        """The lease's id, or None if none was granted."""
+        return self._held.lease if self._held else None
+
+    @property
+    def valid_until_s(self) -> float:
+        """End of validity on the holder's monotonic clock; 0 without one."""
+        return self._held.valid_until_s if self._held else 0.0
+
+    def check(self) -> LeaseId:
+        """Returns the lease id if the holder may act.
+
+        Call this after every await that precedes a side effect.
+
+        Raises:
+            LeaseLapsedError: there is no lease or it has lapsed.
+        """
+        if self._held is None or not self.is_valid:
+            raise _errors.LeaseLapsedError(f"lease is {self.state.value}")
+        return self._held.lease
+
+    def on_replaced(self, listener: Callable[[LeaseId], None]) -> None:
+        """Registers a callback for a new lease in place of an ended one."""
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Tries once to acquire the lease, then renews in the background."""
+        self.validate_params()
+        with contextlib.suppress(_errors.StoreError):
+            await self.renew_once()
+        self._task = asyncio.create_task(self._renew_forever())
+
+    async def stop(self) -> None:
+        """Stops renewing and revokes the lease if the store answers."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+        held, self._held = self._held, None
+        if held is None:
+            return
+        with contextlib.suppress(_errors.StoreError, TimeoutError):
+            await self.clock.wait_for(
+                self.store.revoke_lease(held.lease), self.renew_s
+            )
+
+    def dump(self) -> dict[str, Any]:
+        """Returns id, state and remaining validity in seconds."""
+        remaining_s = max(0.0, self.valid_until_s - self.clock.now())
+        return {
+            "lease": self.lease,
+            "state": self.state.value,
+            "remaining_s": round(remaining_s, 3),
+        }
+
+    async def renew_once(self) -> None:
+        """Renews the lease, or acquires a new one if it has ended.
+
+        Raises:
+            StoreError: the store did not confirm.
+        """
+        if self._held is None:
+            await self._acquire()
+            return
+        sent_s = self.clock.now()
+        try:
+            await self.store.renew_lease(self._held.lease)
+        except _errors.LeaseLostError:
+            await self._acquire()
+            return
+        self._held = _Held(
+            lease=self._held.lease, valid_until_s=self._valid_until(sent_s)
+        )
+
+    async def _acquire(self) -> None:
+        sent_s = self.clock.now()
+        lease = await self.store.grant_lease(self.ttl_s)
+        self._held = _Held(lease=lease, valid_until_s=self._valid_until(sent_s))
+        for listener in self._listeners:
+            listener(lease)
+
+    def _valid_until(self, sent_s: float) -> float:
+        return sent_s + self.ttl_s - self.margin_s
+
+    async def _renew_forever(self) -> None:
+        while True:
+            await self.clock.sleep(self.renew_s)
+            with contextlib.suppress(_errors.StoreError, TimeoutError):
+                await self.clock.wait_for(self.renew_once(), self.renew_s)
--- /dev/null
+++ b/magnoliaglade/store/_stamped.py
@@ -0,0 +1,111 @@
+"""Writes that can be recognised after a lost answer.
+
+A stamped value carries its writer and the writer's sequence number. After an
+unknown outcome the writer reads the key back and finds out whether its own
+write is in, without writing twice.
+"""
+
+import dataclasses
+import itertools
+from typing import Any
+
+import msgpack
+
+from magnoliaglade.store import _errors
+from magnoliaglade.store.base import Store
+from magnoliaglade.types import LeaseId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stamp:
+    """Identity of one write: unique per process incarnation."""
+
+    writer: str
+    sequence: int
+
+
+class StampedWriter:
+    """Writes values with a stamp and resolves unknown outcomes."""
+
+    def __init__(self, *, store: Store, writer: str, attempts: int = 3) -> None:
+        self.store = store
+        self.writer = writer
+        self.attempts = attempts
+        self._sequence = itertools.count(1)
+
+    def next_stamp(self) -> Stamp:
+        """Returns the stamp for a new write."""
+        return Stamp(writer=self.writer, sequence=next(self._sequence))
+
+    async def put(
+        self,
+        key: str,
+        body: Any,
+        *,
+        expected: int,
+        stamp: Stamp,
+        lease: LeaseId | None = None,
+    ) -> int:
+        """Writes `body` under the stamp and returns the revision.
+
+        Repeating a call with the same stamp never writes twice.
+
+        Raises:
+            ConflictError: another write holds the key.
+            StoreUnavailableError: the write is known not to be in.
+            StoreUnknownError: the outcome could not be found out.
+        """
+        value = pack(body, stamp=stamp)
+        for attempt in range(self.attempts):
+            try:
+                return await self.store.put(
+                    key, value, expected=expected, lease=lease
+                )
+            except _errors.ConflictError:
+                revision = await self.find(key, stamp=stamp)
+                if revision is None:
+                    raise
+                return revision
+            except _errors.StoreUnknownError:
+                if attempt == self.attempts - 1:
+                    raise
+            except _errors.StoreUnavailableError:
+                # Only the first attempt is certain: an earlier one with an
+                # unknown outcome may still be in.
+                if attempt == 0:
+                    raise
+                if attempt == self.attempts - 1:
+                    raise _errors.StoreUnknownError(key) from None
+        raise _errors.StoreUnknownError(key)
+
+    async def find(self, key: str, *, stamp: Stamp) -> int | None:
+        """Returns the key's revision if it holds this stamp's write.
+
+        Raises:
+            StoreUnknownError: the key could not be read.
+        """
+        try:
+            entry = await self.store.get(key)
+        except _errors.StoreUnavailableError as error:
+            raise _errors.StoreUnknownError(key) from error
+        if entry is None or unpack(entry.value)[1] != stamp:
+            return None
+        return entry.revision
+
+
+def pack(body: Any, *, stamp: Stamp) -> bytes:
+    """Encodes a body with its stamp."""
+    return msgpack.packb([stamp.writer, stamp.sequence, body])
+
+
+def unpack(value: bytes) -> tuple[Any, Stamp]:
+    """Decodes a stamped value.
+
+    Raises:
+        StoreError: the value is not a stamped value.
+    """
+    try:
+        writer, sequence, body = msgpack.unpackb(value)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise _errors.StoreError(f"value without a stamp: {error}") from error
+    return body, Stamp(writer=writer, sequence=sequence)
--- /dev/null
+++ b/magnoliaglade/store/base.py
@@ -0,0 +1,110 @@
+"""Interface of the platform's key-value service.
+
+An adapter for another service implements `Store`. Revisions are positive
+integers that rise with every write to the store; 0 stands for a key that does
+not exist. Every call counts against the service's rate, and a waiting watch
+counts as one call.
+"""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from magnoliaglade.types import LeaseId
+
+__all__ = ["MAX_VALUE_BYTES", "Entry", "Event", "EventKind", "Store"]
+
+# Largest value that the service accepts.
+MAX_VALUE_BYTES = 1_000_000
+
+
+class EventKind(enum.Enum):
+    """Kind of a change reported by a watch."""
+
+    PUT = "put"
+    DELETE = "delete"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """A key with its value and the revision of its last write."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: LeaseId | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Event:
+    """One change under a watched prefix."""
+
+    kind: EventKind
+    key: str
+    revision: int
+    value: bytes = b""
+
+
+class Store(Protocol):
+    """Key-value service with compare-and-swap, leases and watches.
+
+    Every method may raise `StoreUnavailableError` (nothing happened) or
+    `StoreUnknownError` (a write may have taken effect).
+    """
+
+    async def get(self, key: str) -> Entry | None:
+        """Returns the entry, or None if the key does not exist."""
+
+    async def list_prefix(self, prefix: str) -> tuple[list[Entry], int]:
+        """Returns entries by key order, and the store's revision."""
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected: int | None = None,
+        lease: LeaseId | None = None,
+    ) -> int:
+        """Writes a value and returns its revision.
+
+        Args:
+            key: the key.
+            value: at most `MAX_VALUE_BYTES`.
+            expected: the revision the key must have; 0 creates only; None
+                writes unconditionally.
+            lease: the key is deleted when this lease ends.
+
+        Raises:
+            ConflictError: the key has another revision.
+            LeaseLostError: the lease has ended.
+        """
+
+    async def delete(self, key: str, *, expected: int | None = None) -> None:
+        """Deletes a key; a key that does not exist is no error.
+
+        Raises:
+            ConflictError: the key has another revision.
+        """
+
+    async def grant_lease(self, ttl_s: float) -> LeaseId:
+        """Creates a lease that ends `ttl_s` seconds after its renewal."""
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Extends the lease by its TTL.
+
+        Raises:
+            LeaseLostError: the lease has ended.
+        """
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """Ends the lease and deletes its keys."""
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> list[Event]:
+        """Returns changes later than revision `after`.
+
+        Waits up to `wait_s` seconds for the first one and returns an empty
+        list if there is none.
+        """
--- /dev/null
+++ b/magnoliaglade/store/tests/test_store.py
@@ -0,0 +1,194 @@
+"""Tests of the log, leases and stamped writes under store failures."""
+
+import asyncio
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import standins
+from magnoliaglade import store as store_lib
+from magnoliaglade.types import Epoch, InstanceId
+
+
+def make_store():
+    clock = clock_lib.ManualClock()
+    memory = store_lib.InMemoryStore(clock=clock)
+    return clock, memory, standins.FaultyStore(store=memory, clock=clock)
+
+
+def make_log(store, clock, *, writer="a", epoch=1, flush_s=0.0):
+    return store_lib.SingleWriterLog(
+        store=store,
+        clock=clock,
+        name="claims.0",
+        writer=InstanceId(writer),
+        epoch=Epoch(epoch),
+        flush_s=flush_s,
+    )
+
+
+class TestSingleWriterLog:
+    async def test_successor_reads_records_in_order(self):
+        clock, _, store = make_store()
+        log = make_log(store, clock)
+        assert await log.open() == []
+        for n in range(5):
+            await log.append(b"%d" % n)
+        successor = make_log(store, clock, writer="b", epoch=2)
+        assert await successor.open() == [b"0", b"1", b"2", b"3", b"4"]
+
+    async def test_predecessor_is_fenced(self):
+        """Guards against a paused writer adding records after a takeover."""
+        clock, _, store = make_store()
+        old = make_log(store, clock)
+        await old.open()
+        new = make_log(store, clock, writer="b", epoch=2)
+        await new.open()
+        with pytest.raises(store_lib.LogFencedError):
+            await old.append(b"late")
+        await new.append(b"new")
+        third = make_log(store, clock, writer="c", epoch=3)
+        assert await third.open() == [b"new"]
+
+    async def test_lower_epoch_cannot_open(self):
+        """Guards against an old owner that opens after its successor."""
+        clock, _, store = make_store()
+        await make_log(store, clock, writer="b", epoch=2).open()
+        with pytest.raises(store_lib.LogFencedError):
+            await make_log(store, clock, epoch=1).open()
+
+    async def test_lost_answer_is_written_once(self):
+        """Guards against a double record after a lost answer."""
+        clock, _, store = make_store()
+        log = make_log(store, clock)
+        await log.open()
+        store.lost_answers = 1
+        await log.append(b"x")
+        await log.append(b"y")
+        successor = make_log(store, clock, writer="b", epoch=2)
+        assert await successor.open() == [b"x", b"y"]
+
+    async def test_unknown_outcome_is_reported_and_resolved(self):
+        """Guards against a later batch overtaking an unresolved one."""
+        clock, _, store = make_store()
+        log = make_log(store, clock)
+        await log.open()
+        store.lost_answers = 3
+        store.lost_requests = 0
+        first = asyncio.create_task(log.append(b"x"))
+        await clock.advance(0.1)
+        store.lost_answers = 0
+        assert await first >= 0
+        store.lost_requests = 3
+        with pytest.raises(store_lib.StoreUnknownError):
+            await log.append(b"unknown")
+        await log.append(b"z")
+        successor = make_log(store, clock, writer="b", epoch=2)
+        assert await successor.open() == [b"x", b"unknown", b"z"]
+
+    async def test_outage_refuses_and_recovers(self):
+        """Guards against a claim of success while the store is down."""
+        clock, _, store = make_store()
+        log = make_log(store, clock)
+        await log.open()
+        store.is_down = True
+        with pytest.raises(store_lib.LogUnavailableError):
+            await log.append(b"refused")
+        store.is_down = False
+        await log.append(b"kept")
+        successor = make_log(store, clock, writer="b", epoch=2)
+        assert await successor.open() == [b"kept"]
+
+    async def test_records_share_a_write(self):
+        """Guards against one store write per record under load."""
+        clock, memory, store = make_store()
+        log = make_log(store, clock, flush_s=0.04)
+        await log.open()
+        await log.append(b"first")
+        before = memory.call_counts["put"]
+        appends = [asyncio.create_task(log.append(b"r")) for _ in range(100)]
+        await clock.advance(0.1)
+        await asyncio.gather(*appends)
+        assert memory.call_counts["put"] - before == 1
+
+    async def test_snapshot_replaces_slots(self):
+        """Guards against a log that grows without bound or loses records."""
+        clock, _, store = make_store()
+        log = make_log(store, clock)
+        await log.open()
+        for _ in range(10):
+            await log.append(b"old")
+        await log.compact([b"state"])
+        await log.append(b"after")
+        successor = make_log(store, clock, writer="b", epoch=2)
+        assert await successor.open() == [b"state", b"after"]
+        await clock.advance(1000)
+        await log._delete_retired()
+        third = make_log(store, clock, writer="c", epoch=3)
+        assert await third.open() == [b"state", b"after"]
+
+
+class TestInstanceLease:
+    async def test_lapses_before_the_store_gives_it_away(self):
+        """Guards against acting after a pause longer than the lease."""
+        clock, memory, store = make_store()
+        lease = store_lib.InstanceLease(store=store, clock=clock)
+        await lease.start()
+        lease.check()
+        store.is_down = True
+        await clock.advance(3.6)
+        with pytest.raises(store_lib.LeaseLapsedError):
+            lease.check()
+        memory.expire_leases()
+        await memory.renew_lease(lease.lease)
+        await lease.stop()
+
+    async def test_is_replaced_after_expiry(self):
+        clock, _, store = make_store()
+        lease = store_lib.InstanceLease(store=store, clock=clock)
+        await lease.start()
+        first = lease.lease
+        store.is_down = True
+        await clock.advance(10)
+        store.is_down = False
+        await clock.advance(2)
+        assert lease.is_valid
+        assert lease.lease != first
+        await lease.stop()
+
+
+class TestOwnership:
+    async def test_one_owner_and_rising_epochs(self):
+        """Guards against two owners and against an epoch used twice."""
+        clock, _, store = make_store()
+        leases = [
+            store_lib.InstanceLease(store=store, clock=clock) for _ in range(2)
+        ]
+        for lease in leases:
+            await lease.start()
+        first, second = (
+            store_lib.Ownership(store=store, instance=InstanceId(n), lease=x)
+            for n, x in zip("ab", leases, strict=True)
+        )
+        owned = await first.acquire("jobs.z")
+        assert await second.acquire("jobs.z") is None
+        await first.release(owned)
+        taken = await second.acquire("jobs.z")
+        assert taken.epoch > owned.epoch
+        assert await second.owner_of("jobs.z") == "b"
+        for lease in leases:
+            await lease.stop()
+
+    async def test_lost_answers_do_not_share_an_epoch(self):
+        """Guards against one epoch for two owners after a lost answer."""
+        clock, _, store = make_store()
+        lease = store_lib.InstanceLease(store=store, clock=clock)
+        await lease.start()
+        ownership = store_lib.Ownership(
+            store=store, instance=InstanceId("a"), lease=lease
+        )
+        store.lost_answers = 2
+        owned = await ownership.acquire("jobs.z")
+        assert owned is not None
+        assert owned.epoch == 2
+        await lease.stop()
