Add peer streams, membership registry, heartbeats and grants

Cause: entry instances have to reach each other without the store. Change: msgpack streams over TCP with silence detection, registration under the instance lease, views with a fingerprint, grants by majority. Conclusion: two majorities of one view keep takeover and grants apart.

--- a/magnoliaglade/membership/_view.py
+++ b/magnoliaglade/membership/_view.py
@@ -28,11 +28,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class View:
-    """The registered entry instances at one store revision.
+    """The registered entry instances as read from the store.
 
     Attributes:
-        version: revision of the store at which the registrations were read
-            that last changed.
+        version: fingerprint of the members and their incarnations, equal on
+            all instances that have read the same registrations; 0 if nothing
+            has been read. Compare it for equality only.
         members: by instance id.
     """
 
@@ -54,6 +55,14 @@
         return next((m for m in self.members if m.instance == instance), None)
 
 
+def make_view(members: Iterable[Member]) -> View:
+    """Returns the view of these members with its fingerprint."""
+    ordered = tuple(sorted(members, key=lambda m: m.instance))
+    identity = "\n".join(f"{m.instance} {m.incarnation}" for m in ordered)
+    digest = hashlib.blake2b(identity.encode(), digest_size=6).digest()
+    return View(version=int.from_bytes(digest), members=ordered)
+
+
 def rendezvous_order(
     key: str, instances: Iterable[InstanceId]
 ) -> list[InstanceId]:
--- /dev/null
+++ b/magnoliaglade/membership/tests/test_membership.py
@@ -0,0 +1,138 @@
+"""Tests of registration, views and grants."""
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import membership, peers, standins
+from magnoliaglade import store as store_lib
+from magnoliaglade.types import InstanceId, ZoneId
+
+
+def make_member(name, incarnation="1"):
+    return membership.Member(
+        instance=InstanceId(name),
+        incarnation=incarnation,
+        zone=ZoneId("z"),
+        peer_address="127.0.0.1:1",
+        http_address="127.0.0.1:2",
+    )
+
+
+class Node:
+    """One instance's lease and registry on a shared store."""
+
+    def __init__(self, clock, memory, name):
+        self.store = standins.FaultyStore(store=memory, clock=clock)
+        self.lease = store_lib.InstanceLease(store=self.store, clock=clock)
+        self.registry = membership.MemberRegistry(
+            store=self.store,
+            clock=clock,
+            lease=self.lease,
+            member=make_member(name),
+        )
+
+    async def start(self):
+        await self.lease.start()
+        await self.registry.start()
+
+    async def stop(self):
+        await self.registry.stop()
+        await self.lease.stop()
+
+
+class TestMemberRegistry:
+    async def make(self, count=3):
+        clock = clock_lib.ManualClock()
+        memory = store_lib.InMemoryStore(clock=clock)
+        nodes = [Node(clock, memory, n) for n in "abc"[:count]]
+        for node in nodes:
+            await node.start()
+        await clock.advance(1)
+        return clock, memory, nodes
+
+    async def test_all_agree_on_the_view(self):
+        _, _, nodes = await self.make()
+        versions = {n.registry.view.version for n in nodes}
+        assert len(versions) == 1
+        assert nodes[0].registry.view.instances == ("a", "b", "c")
+        for node in nodes:
+            await node.stop()
+
+    async def test_cut_off_member_leaves_and_comes_back(self):
+        """Guards against a paused or cut-off instance that stays away."""
+        clock, memory, nodes = await self.make()
+        nodes[2].store.is_down = True
+        for _ in range(8):
+            await clock.advance(1)
+            memory.expire_leases()
+        assert nodes[0].registry.view.instances == ("a", "b")
+        assert nodes[2].registry.view.instances == ("a", "b", "c")
+        nodes[2].store.is_down = False
+        await clock.advance(3)
+        assert nodes[0].registry.view.instances == ("a", "b", "c")
+        for node in nodes:
+            await node.stop()
+
+    async def test_quiet_view_costs_one_call_in_ten_seconds(self):
+        """Guards against membership using up the store's rate."""
+        clock, memory, nodes = await self.make()
+        before = memory.call_counts["list_prefix"] + memory.call_counts["watch"]
+        await clock.advance(100)
+        after = memory.call_counts["list_prefix"] + memory.call_counts["watch"]
+        assert after - before <= 3 * 2 * 10 + 6
+        for node in nodes:
+            await node.stop()
+
+
+class TestGrants:
+    def make(self, names="abcde"):
+        clock = clock_lib.ManualClock()
+        hub = peers.LocalHub(clock=clock)
+        view = membership.make_view(make_member(n) for n in names)
+        reachable = dict.fromkeys(names, False)
+        collectors = {}
+        for name in names:
+            network = peers.LocalPeers(hub=hub, instance=InstanceId(name))
+            membership.GrantBook(
+                network=network,
+                clock=clock,
+                store_reachable=lambda n=name: reachable[n],
+            )
+            collectors[name] = membership.GrantCollector(
+                network=network, clock=clock
+            )
+        return clock, hub, view, reachable, collectors
+
+    async def collect(self, collector, view, purpose, epoch=1):
+        return await collector.collect(
+            domain="jobs.z",
+            epoch=epoch,
+            purpose=membership.GrantPurpose(purpose),
+            view=view,
+        )
+
+    async def test_takeover_waits_for_grants(self):
+        """Guards against two owners after an outage."""
+        clock, _, view, reachable, collectors = self.make()
+        assert await self.collect(collectors["a"], view, "act")
+        assert collectors["a"].remaining_s("jobs.z") > 3
+        for name in reachable:
+            reachable[name] = True
+        assert not await self.collect(collectors["b"], view, "take-over", 2)
+        await clock.advance(3.6)
+        assert collectors["a"].remaining_s("jobs.z") == 0
+        assert not await self.collect(collectors["b"], view, "take-over", 2)
+        await clock.advance(0.5)
+        assert await self.collect(collectors["b"], view, "take-over", 2)
+
+    async def test_minority_gets_no_grant(self):
+        """Guards against starts on the smaller side of a partition."""
+        _, hub, view, _, collectors = self.make()
+        for name in "cde":
+            hub.cut(InstanceId("a"), InstanceId(name))
+        assert not await self.collect(collectors["a"], view, "act")
+
+    async def test_members_with_store_refuse(self):
+        """Guards against an owner that alone is cut off from the store."""
+        _, _, view, reachable, collectors = self.make()
+        for name in "bcde":
+            reachable[name] = True
+        assert not await self.collect(collectors["a"], view, "act")
--- a/magnoliaglade/peers/__init__.py
+++ b/magnoliaglade/peers/__init__.py
@@ -1,6 +1,7 @@
 """Messages between entry instances."""
 
 from magnoliaglade.peers._local import LocalHub, LocalPeers
+from magnoliaglade.peers._network import TcpPeerNetwork
 from magnoliaglade.peers.base import (
     Message,
     MessageError,
@@ -24,6 +25,7 @@
     "PeerRefusedError",
     "PeerUnknownError",
     "PeerUnreachableError",
+    "TcpPeerNetwork",
     "decode_message",
     "encode_message",
     "message",
--- a/magnoliaglade/peers/_local.py
+++ b/magnoliaglade/peers/_local.py
@@ -104,7 +104,10 @@
 
     def _check(self, peer: InstanceId) -> None:
         alive = self._instance in self.hub.members
-        if not alive or not self.hub.reaches(self._instance, peer):
+        reached = peer == self._instance or self.hub.reaches(
+            self._instance, peer
+        )
+        if not alive or not reached:
             raise base.PeerUnreachableError(str(peer))
 
 
--- /dev/null
+++ b/magnoliaglade/peers/_stream.py
@@ -0,0 +1,172 @@
+"""One TCP stream between two entry instances.
+
+The dialling side sends requests and heartbeats; the accepting side answers
+each. Either side closes a stream that has been silent for too long, because a
+connection can go silent for good while new ones work.
+"""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.peers import _frames, base
+from magnoliaglade.types import InstanceId
+
+# A peer that does not read leaves this much unsent before sends are refused.
+MAX_UNSENT_BYTES = 4_194_304
+# Requests of one peer that are handled at the same time.
+MAX_CONCURRENT_REQUESTS = 1_000
+REFUSED = "Refused"
+
+Serve = Callable[[_frames.Frame], Awaitable[base.Message | None]]
+
+
+class PeerStream:
+    """Frames in both directions over an open connection."""
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        clock: clock_lib.Clock,
+        instance: InstanceId,
+        incarnation: str,
+        serve: Serve,
+        counts: "collections.Counter[str]",
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.clock = clock
+        self.instance = instance
+        self.incarnation = incarnation
+        self.serve = serve
+        self.counts = counts
+        self._sequence = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[_frames.Frame]] = {}
+        self._requests: set[asyncio.Task[None]] = set()
+        self._last_heard_s = clock.now()
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the last frame from the peer."""
+        return self.clock.now() - self._last_heard_s
+
+    @property
+    def is_open(self) -> bool:
+        """Whether frames can be written."""
+        return not self.writer.is_closing()
+
+    async def run(self) -> None:
+        """Reads frames until the stream ends; then fails what waits."""
+        try:
+            while True:
+                frame, size = await _frames.read_frame(self.reader)
+                self.counts["bytes_received"] += size
+                self._last_heard_s = self.clock.now()
+                self._receive(frame)
+        except (asyncio.IncompleteReadError, OSError, base.MessageError):
+            self.counts["streams_ended"] += 1
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the connection; waiting requests become unknown."""
+        self.writer.close()
+        for task in self._requests:
+            task.cancel()
+        pending, self._pending = self._pending, {}
+        for future in pending.values():
+            if not future.done():
+                future.set_exception(base.PeerUnknownError("stream closed"))
+                # Retrieved here for callers that have been cancelled.
+                future.exception()
+
+    def send(self, value: base.Message, *, in_reply_to: int = 0) -> int:
+        """Writes a message and returns its sequence.
+
+        Raises:
+            PeerUnreachableError: nothing was written.
+        """
+        name, payload = base.encode_message(value)
+        return self._write(name, payload, in_reply_to)
+
+    async def request(self, value: base.Message, *, timeout_s: float) -> Any:
+        """Writes a message and returns the reply.
+
+        Raises:
+            PeerUnreachableError: nothing was written.
+            PeerUnknownError: no reply came.
+            PeerRefusedError: the peer refused the message.
+        """
+        future = asyncio.get_running_loop().create_future()
+        sequence = self.send(value)
+        self._pending[sequence] = future
+        try:
+            frame = await self.clock.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            raise base.PeerUnknownError(str(error)) from error
+        finally:
+            self._pending.pop(sequence, None)
+        if frame.type == REFUSED:
+            raise base.PeerRefusedError(str(frame.payload.get("reason")))
+        if not frame.type:
+            return None
+        return base.decode_message(frame.type, frame.payload)
+
+    def _receive(self, frame: _frames.Frame) -> None:
+        if frame.in_reply_to:
+            future = self._pending.pop(frame.in_reply_to, None)
+            if future is None:
+                self.counts["late_replies"] += 1
+            elif not future.done():
+                future.set_result(frame)
+            return
+        if len(self._requests) >= MAX_CONCURRENT_REQUESTS:
+            self._refuse(frame.sequence, "too many requests")
+            return
+        task = asyncio.ensure_future(self._serve(frame))
+        self._requests.add(task)
+        task.add_done_callback(self._requests.discard)
+
+    async def _serve(self, frame: _frames.Frame) -> None:
+        try:
+            reply = await self.serve(frame)
+        except Exception as error:
+            self.counts["requests_refused"] += 1
+            self._refuse(frame.sequence, repr(error))
+            return
+        with contextlib.suppress(base.PeerError):
+            if reply is None:
+                self._write("", {}, frame.sequence)
+            else:
+                self.send(reply, in_reply_to=frame.sequence)
+
+    def _refuse(self, sequence: int, reason: str) -> None:
+        with contextlib.suppress(base.PeerError):
+            self._write(REFUSED, {"reason": reason}, sequence)
+
+    def _write(self, name: str, payload: Any, in_reply_to: int) -> int:
+        if not self.is_open:
+            raise base.PeerUnreachableError("stream is closed")
+        unsent = self.writer.transport.get_write_buffer_size()
+        if unsent > MAX_UNSENT_BYTES:
+            raise base.PeerUnreachableError(f"{unsent} bytes are unsent")
+        sequence = next(self._sequence)
+        data = _frames.encode_frame(
+            _frames.Frame(
+                type=name,
+                sender=self.instance,
+                incarnation=self.incarnation,
+                sequence=sequence,
+                in_reply_to=in_reply_to,
+                payload=payload,
+            )
+        )
+        self.writer.write(data)
+        self.counts["bytes_sent"] += len(data)
+        return sequence
