--- /dev/null
+++ b/magnoliaglade/http/__init__.py
@@ -0,0 +1,33 @@
+"""HTTP server and client on the event loop, for all HTTP interfaces."""
+
+from magnoliaglade.http._client import (
+    HttpClient,
+    HttpClientError,
+    NoAnswerError,
+    NotSentError,
+    Reply,
+)
+from magnoliaglade.http._server import (
+    BodyTooLargeError,
+    HttpServer,
+    HttpServerError,
+    json_response,
+    new_application,
+    packed_response,
+    read_body,
+)
+
+__all__ = [
+    "BodyTooLargeError",
+    "HttpClient",
+    "HttpClientError",
+    "HttpServer",
+    "HttpServerError",
+    "NoAnswerError",
+    "NotSentError",
+    "Reply",
+    "json_response",
+    "new_application",
+    "packed_response",
+    "read_body",
+]
--- /dev/null
+++ b/magnoliaglade/http/_server.py
@@ -0,0 +1,171 @@
+"""Serves a blacksheep application with uvicorn inside the running loop."""
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from typing import Any
+
+import blacksheep
+import msgpack
+import uvicorn
+from blacksheep.server import routing
+
+from magnoliaglade import base, exceptions
+
+Handler = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
+
+# Longer than the idle limit of clients, so that a client closes first and a
+# request never meets a connection that the server is closing.
+KEEP_ALIVE_S = 75
+_STARTUP_POLL_S = 0.005
+
+
+class HttpServerError(exceptions.MagnoliagladeError):
+    """The server could not be started."""
+
+
+class BodyTooLargeError(HttpServerError):
+    """A request body exceeds the limit."""
+
+
+class _Server(uvicorn.Server):
+    """The daemon handles signals itself."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leaves the process's signal handlers alone."""
+        yield
+
+
+class HttpServer(base.Component):
+    """Listens on one address; `stop` finishes requests in flight."""
+
+    _parameter_constraints = {
+        "port": [base.Interval(kind=int, low=0, high=65535)],
+        "stop_timeout_s": [base.Interval(kind=float, low=0)],
+    }
+
+    def __init__(
+        self,
+        *,
+        application: blacksheep.Application,
+        host: str,
+        port: int,
+        stop_timeout_s: float = 30.0,
+    ) -> None:
+        self.application = application
+        self.host = host
+        self.port = port
+        self.stop_timeout_s = stop_timeout_s
+        self._socket: socket.socket | None = None
+        self._server: _Server | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def bound_port(self) -> int:
+        """Port of the listener; differs from `port` if that is 0."""
+        if self._socket is None:
+            raise HttpServerError("the server is not started")
+        return self._bound_port
+
+    async def start(self) -> None:
+        """Binds the address and serves.
+
+        Raises:
+            HttpServerError: the address cannot be bound.
+        """
+        self.validate_params()
+        self._socket = _bind(self.host, self.port)
+        self._bound_port = self._socket.getsockname()[1]
+        config = uvicorn.Config(
+            self.application,
+            log_config=None,
+            access_log=False,
+            lifespan="on",
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=max(1, int(self.stop_timeout_s)),
+        )
+        self._server = _Server(config)
+        self._task = asyncio.create_task(self._server.serve([self._socket]))
+        while not self._server.started:
+            if self._task.done():
+                raise HttpServerError("the server ended at start")
+            await asyncio.sleep(_STARTUP_POLL_S)
+
+    async def stop(self) -> None:
+        """Stops accepting, then waits for requests in flight."""
+        if self._server is None or self._task is None:
+            return
+        self._server.should_exit = True
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._server = None
+
+
+def new_application(
+    routes: Mapping[tuple[str, str], Handler],
+) -> blacksheep.Application:
+    """Returns an application that serves the given routes.
+
+    Args:
+        routes: handler by method and path pattern, such as
+            `("GET", "/v1/jobs/{job}")`; values of the pattern are in
+            `request.route_values`.
+    """
+    application = blacksheep.Application(router=routing.Router())
+    for (method, path), handler in routes.items():
+        application.router.add(method, path, _route(handler))
+    return application
+
+
+def json_response(status: int, value: Any) -> blacksheep.Response:
+    """Returns a response with a JSON body."""
+    content = blacksheep.Content(
+        b"application/json", json.dumps(value).encode()
+    )
+    return blacksheep.Response(status, None, content)
+
+
+def packed_response(status: int, value: Any) -> blacksheep.Response:
+    """Returns a response with a msgpack body."""
+    content = blacksheep.Content(b"application/msgpack", msgpack.packb(value))
+    return blacksheep.Response(status, None, content)
+
+
+def _route(handler: Handler) -> Handler:
+    # The router sets attributes on its handlers, which methods do not allow.
+    async def route(request: blacksheep.Request) -> blacksheep.Response:
+        return await handler(request)
+
+    return route
+
+
+async def read_body(request: blacksheep.Request, *, max_bytes: int) -> bytes:
+    """Reads a body up to a limit.
+
+    Raises:
+        BodyTooLargeError: the body is longer than `max_bytes`.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > max_bytes:
+            raise BodyTooLargeError(f"the body exceeds {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as error:
+        listener.close()
+        raise HttpServerError(f"{host}:{port}: {error}") from error
+    return listener
--- a/magnoliaglade/store/__init__.py
+++ b/magnoliaglade/store/__init__.py
@@ -19,6 +19,7 @@
 from magnoliaglade.store._lease import InstanceLease
 from magnoliaglade.store._log import SingleWriterLog
 from magnoliaglade.store._memory import InMemoryStore
+from magnoliaglade.store._monitored import MonitoredStore
 from magnoliaglade.store._ownership import Owned, Ownership
 from magnoliaglade.store._stamped import Stamp, StampedWriter
 from magnoliaglade.store.base import Entry, Event, EventKind, Store
@@ -35,6 +36,7 @@
     "LeaseLostError",
     "LogFencedError",
     "LogUnavailableError",
+    "MonitoredStore",
     "Owned",
     "Ownership",
     "SingleWriterLog",
