--- a/magnoliaglade/platform/__init__.py
+++ b/magnoliaglade/platform/__init__.py
@@ -1,5 +1,7 @@
-"""Interfaces to the platform's workers and instance list."""
+"""Interfaces to the platform's workers and instance list, and HTTP clients."""
 
-from magnoliaglade.platform import instance_list, worker
+from magnoliaglade.platform import codec, instance_list, worker
+from magnoliaglade.platform._http_instance_list import HttpInstanceList
+from magnoliaglade.platform._http_worker import HttpWorker
 
-__all__ = ["instance_list", "worker"]
+__all__ = ["HttpInstanceList", "HttpWorker", "codec", "instance_list", "worker"]
--- /dev/null
+++ b/magnoliaglade/platform/_http_instance_list.py
@@ -0,0 +1,54 @@
+"""Instance list client over HTTP: `GET /v1/instances` with a JSON answer.
+
+The answer is `{"instances": [...]}` with the fields of `ListedInstance`.
+"""
+
+from typing import Any
+
+from magnoliaglade import base, http
+from magnoliaglade.platform import instance_list
+from magnoliaglade.types import InstanceId, RackId, ZoneId
+
+
+class HttpInstanceList(base.Component):
+    """See `platform.instance_list.InstanceList`."""
+
+    def __init__(self, *, url: str, timeout_s: float = 2.0) -> None:
+        self.url = url
+        self.timeout_s = timeout_s
+        self._client = http.HttpClient(url=url, timeout_s=timeout_s)
+
+    async def start(self) -> None:
+        """Prepares the client; connects on first use."""
+        await self._client.start()
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        await self._client.stop()
+
+    async def instances(self) -> list[instance_list.ListedInstance]:
+        """See `InstanceList.instances`."""
+        try:
+            reply = await self._client.call("GET", "/v1/instances")
+            if reply.status != 200:
+                raise instance_list.InstanceListError(
+                    f"the instance list answered {reply.status}"
+                )
+            return [_decode(i) for i in reply.json()["instances"]]
+        except (http.HttpClientError, KeyError, TypeError, ValueError) as error:
+            raise instance_list.InstanceListError(str(error)) from error
+
+
+def _decode(fields: dict[str, Any]) -> instance_list.ListedInstance:
+    return instance_list.ListedInstance(
+        instance=InstanceId(fields["instance"]),
+        role=instance_list.InstanceRole(fields["role"]),
+        zone=ZoneId(fields["zone"]),
+        address=fields["address"],
+        state=instance_list.InstanceState(fields["state"]),
+        rack=RackId(fields.get("rack", "")),
+        service=fields.get("service", ""),
+        cores=float(fields.get("cores", 0)),
+        memory_gb=float(fields.get("memory_gb", 0)),
+        accelerators=int(fields.get("accelerators", 0)),
+    )
--- /dev/null
+++ b/magnoliaglade/standins/instance_list.py
@@ -0,0 +1,107 @@
+"""Stand-in of the platform's instance list over HTTP.
+
+`GET /v1/instances` answers `{"instances": [...]}` with the fields of
+`platform.instance_list.ListedInstance`. A change appears only `lag_s` seconds
+after it was made.
+"""
+
+import dataclasses
+from typing import Any
+
+import blacksheep
+
+from magnoliaglade import base, http
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.platform import instance_list
+from magnoliaglade.types import InstanceId
+
+__all__ = ["InstanceListServer"]
+
+Listed = instance_list.ListedInstance
+
+
+class InstanceListServer(base.Component):
+    """Serves a list that follows its changes with a lag."""
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        lag_s: float = 0.0,
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        self.clock = clock
+        self.lag_s = lag_s
+        self.host = host
+        self.port = port
+        self._changes: list[tuple[float, InstanceId, Listed | None]] = []
+        self._server = http.HttpServer(
+            application=http.new_application(
+                {
+                    ("GET", "/v1/instances"): self._get,
+                    ("POST", "/v1/instances"): self._post,
+                }
+            ),
+            host=host,
+            port=port,
+        )
+
+    @property
+    def url(self) -> str:
+        """Base URL of the service."""
+        return f"http://{self.host}:{self._server.bound_port}"
+
+    async def start(self) -> None:
+        """Starts to serve."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stops serving."""
+        await self._server.stop()
+
+    def put(self, listed: Listed) -> None:
+        """Adds or replaces an instance."""
+        self._changes.append((self.clock.now(), listed.instance, listed))
+
+    def remove(self, instance: InstanceId) -> None:
+        """Removes an instance."""
+        self._changes.append((self.clock.now(), instance, None))
+
+    async def instances(self) -> list[Listed]:
+        """Returns the list as of `lag_s` ago; see `InstanceList`."""
+        visible_s = self.clock.now() - self.lag_s
+        current: dict[InstanceId, Listed] = {}
+        for changed_s, instance, listed in self._changes:
+            if changed_s > visible_s:
+                break
+            if listed is None:
+                current.pop(instance, None)
+            else:
+                current[instance] = listed
+        return list(current.values())
+
+    async def _get(self, request: blacksheep.Request) -> blacksheep.Response:
+        found = [_fields(i) for i in await self.instances()]
+        return http.json_response(200, {"instances": found})
+
+    async def _post(self, request: blacksheep.Request) -> blacksheep.Response:
+        fields = await request.json()
+        self.put(
+            Listed(
+                **{
+                    **fields,
+                    "role": instance_list.InstanceRole(fields["role"]),
+                    "state": instance_list.InstanceState(fields["state"]),
+                }
+            )
+        )
+        return http.json_response(200, {})
+
+
+def _fields(listed: Listed) -> dict[str, Any]:
+    return {
+        **dataclasses.asdict(listed),
+        "role": listed.role.value,
+        "state": listed.state.value,
+    }
