Add settings, owner directory and ownership campaign

Cause: domains have to be spread over the entry instances and move without a person. Change: checked settings; a campaign that acquires domains by rendezvous rank, hands them over at a planned stop, and keeps services through a store outage. Conclusion: services survive an outage and are abandoned only when the store answers again under a new lease.

--- a/magnoliaglade/membership/__init__.py
+++ b/magnoliaglade/membership/__init__.py
@@ -1,5 +1,10 @@
 """Membership of entry instances, heartbeats, and grants."""
 
+from magnoliaglade.membership._campaign import (
+    DomainService,
+    Handover,
+    OwnershipCampaign,
+)
 from magnoliaglade.membership._grants import (
     Grant,
     GrantBook,
@@ -8,6 +13,7 @@
     GrantRequest,
 )
 from magnoliaglade.membership._heartbeat import Heartbeat, HeartbeatBoard
+from magnoliaglade.membership._owners import OwnerDirectory, OwnerRecord
 from magnoliaglade.membership._registry import MemberRegistry
 from magnoliaglade.membership._view import (
     Member,
@@ -17,15 +23,20 @@
 )
 
 __all__ = [
+    "DomainService",
     "Grant",
     "GrantBook",
     "GrantCollector",
     "GrantPurpose",
     "GrantRequest",
+    "Handover",
     "Heartbeat",
     "HeartbeatBoard",
     "Member",
     "MemberRegistry",
+    "OwnerDirectory",
+    "OwnerRecord",
+    "OwnershipCampaign",
     "View",
     "make_view",
     "rendezvous_order",
--- /dev/null
+++ b/magnoliaglade/membership/_campaign.py
@@ -0,0 +1,242 @@
+"""Acquires domains for this instance and runs a service for each.
+
+Owners are spread by rendezvous hashing: the first live member in the order of
+a domain acquires it at once, each further one only after a delay by its rank.
+An owner that is not first hands the domain over gracefully when the first one
+has been live for a while.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, Protocol
+
+from magnoliaglade import base, observability, peers
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import store as store_lib
+from magnoliaglade.membership import _owners, _view
+from magnoliaglade.types import Epoch, InstanceId
+
+POLL_S = 0.25
+RANK_DELAY_S = 0.5
+# A returning member is given its domains back only after this time, so that an
+# instance that restarts over and over does not move domains each time.
+SETTLE_S = 10.0
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Handover(peers.Message):
+    """The sender has released a domain; the receiver may acquire it now."""
+
+    domain: str
+    epoch: int
+
+
+class DomainService(Protocol):
+    """What an owner runs for a domain."""
+
+    async def start(self) -> None:
+        """Takes the domain's state over; errors give the domain up again."""
+
+    async def stop(self) -> None:
+        """Ends gracefully, leaving the state ready for a successor."""
+
+    async def abandon(self) -> None:
+        """Ends at once, because another owner may be active."""
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state as plain data."""
+
+
+Factory = Callable[[store_lib.Owned], DomainService]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Running:
+    owned: store_lib.Owned
+    service: DomainService
+
+
+class OwnershipCampaign(base.Component):
+    """Keeps the services of the domains that this instance owns.
+
+    A service goes on while the store is down, although the lease has lapsed:
+    what it may still do then is the service's own decision. It is abandoned
+    when this instance reaches the store again and its ownership has ended.
+    """
+
+    _parameter_constraints = {
+        "poll_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "rank_delay_s": [base.Interval(kind=float, low=0)],
+        "settle_s": [base.Interval(kind=float, low=0)],
+    }
+
+    def __init__(
+        self,
+        *,
+        ownership: store_lib.Ownership,
+        directory: _owners.OwnerDirectory,
+        network: peers.PeerNetwork,
+        clock: clock_lib.Clock,
+        view: Callable[[], _view.View],
+        domains: Callable[[], Iterable[str]],
+        factory: Factory,
+        may_take_over: Callable[[str], Awaitable[bool]],
+        poll_s: float = POLL_S,
+        rank_delay_s: float = RANK_DELAY_S,
+        settle_s: float = SETTLE_S,
+    ) -> None:
+        self.ownership = ownership
+        self.directory = directory
+        self.network = network
+        self.clock = clock
+        self.view = view
+        self.domains = domains
+        self.factory = factory
+        self.may_take_over = may_take_over
+        self.poll_s = poll_s
+        self.rank_delay_s = rank_delay_s
+        self.settle_s = settle_s
+        self._running: dict[str, _Running] = {}
+        self._unowned_since_s: dict[str, float] = {}
+        self._live_since_s: dict[InstanceId, float] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._failure = ""
+
+    @property
+    def owned(self) -> dict[str, Epoch]:
+        """Epochs of the domains whose service runs here."""
+        return {d: r.owned.epoch for d, r in self._running.items()}
+
+    def service(self, domain: str) -> DomainService | None:
+        """Returns the service of a domain if it runs here."""
+        running = self._running.get(domain)
+        return running.service if running else None
+
+    async def start(self) -> None:
+        """Starts to campaign in the background."""
+        self.validate_params()
+        self.directory.set_local(lambda: self.owned)
+        self.network.handle(Handover, self._on_handover)
+        self._task = asyncio.create_task(self._campaign())
+
+    async def stop(self) -> None:
+        """Hands every domain over."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for domain in list(self._running):
+            await self._hand_over(domain)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns epoch, validity and state of each running service."""
+        return {
+            d: {
+                "epoch": r.owned.epoch,
+                "valid": r.owned.is_valid,
+                "state": r.service.dump(),
+            }
+            for d, r in sorted(self._running.items())
+        }
+
+    async def poll(self) -> None:
+        """Looks at every domain once."""
+        self._note_live_members()
+        wanted = set(self.domains())
+        for domain in sorted(wanted | set(self._running)):
+            await self._poll_domain(domain, wanted=domain in wanted)
+
+    async def _campaign(self) -> None:
+        while True:
+            try:
+                await self.poll()
+                self._note_failure("")
+            except Exception as error:
+                # An error in one round must not end the campaign.
+                self._note_failure(repr(error))
+            await self.clock.sleep(self.poll_s)
+
+    def _note_failure(self, reason: str) -> None:
+        if reason == self._failure:
+            return
+        self._failure = reason
+        state = "failing" if reason else "working"
+        observability.log_state_change("campaign", state=state, reason=reason)
+
+    async def _poll_domain(self, domain: str, *, wanted: bool) -> None:
+        running = self._running.get(domain)
+        if running is None:
+            if wanted and self._is_due(domain):
+                await self._acquire(domain)
+            return
+        if not running.owned.is_valid and self.ownership.lease.is_valid:
+            await self._abandon(domain)
+        elif not wanted or self._should_move(domain):
+            await self._hand_over(domain)
+
+    def _note_live_members(self) -> None:
+        now = self.clock.now()
+        live = self.network.live_peers | {self.network.instance}
+        self._live_since_s = {i: self._live_since_s.get(i, now) for i in live}
+
+    def _order(self, domain: str) -> list[InstanceId]:
+        members = set(self.view().instances) & set(self._live_since_s)
+        return _view.rendezvous_order(domain, members | {self.network.instance})
+
+    def _is_due(self, domain: str) -> bool:
+        if self.directory.owner_of(domain) is not None:
+            self._unowned_since_s.pop(domain, None)
+            return False
+        now = self.clock.now()
+        since_s = self._unowned_since_s.setdefault(domain, now)
+        rank = self._order(domain).index(self.network.instance)
+        return now - since_s >= rank * self.rank_delay_s
+
+    def _should_move(self, domain: str) -> bool:
+        first = self._order(domain)[0]
+        if first == self.network.instance:
+            return False
+        return self.clock.now() - self._live_since_s[first] >= self.settle_s
+
+    async def _acquire(self, domain: str) -> None:
+        if not await self.may_take_over(domain):
+            return
+        owned = await self.ownership.acquire(domain)
+        if owned is None:
+            return
+        service = self.factory(owned)
+        try:
+            await service.start()
+        except Exception as error:
+            observability.log_state_change(
+                "domain", state="failed", domain=domain, reason=repr(error)
+            )
+            await service.abandon()
+            await self.ownership.release(owned)
+            return
+        self._running[domain] = _Running(owned=owned, service=service)
+        self._unowned_since_s.pop(domain, None)
+        observability.log_state_change(
+            "domain", state="owned", domain=domain, epoch=owned.epoch
+        )
+
+    async def _hand_over(self, domain: str) -> None:
+        running = self._running.pop(domain)
+        await running.service.stop()
+        await self.ownership.release(running.owned)
+        observability.log_state_change(
+            "domain", state="handed-over", domain=domain
+        )
+        message = Handover(domain=domain, epoch=running.owned.epoch)
+        await self.network.broadcast(message)
+
+    async def _abandon(self, domain: str) -> None:
+        running = self._running.pop(domain)
+        await running.service.abandon()
+        observability.log_state_change(
+            "domain", state="abandoned", domain=domain
+        )
+
+    async def _on_handover(self, sender: InstanceId, message: Handover) -> None:
+        self.directory.forget(sender, message.domain)
--- /dev/null
+++ b/magnoliaglade/membership/tests/test_campaign.py
@@ -0,0 +1,157 @@
+"""Tests of acquiring, losing and handing over domains."""
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import membership, peers, standins
+from magnoliaglade import store as store_lib
+from magnoliaglade.types import InstanceId, ZoneId
+
+DOMAINS = ["jobs.a", "jobs.b", "jobs.c", "jobs.d"]
+
+
+class RecordingService:
+    def __init__(self, owned):
+        self.owned = owned
+        self.ended = ""
+
+    async def start(self):
+        pass
+
+    async def stop(self):
+        self.ended = "stopped"
+
+    async def abandon(self):
+        self.ended = "abandoned"
+
+    def dump(self):
+        return {}
+
+
+class Node:
+    def __init__(self, clock, memory, hub, name):
+        self.store = standins.FaultyStore(store=memory, clock=clock)
+        self.lease = store_lib.InstanceLease(store=self.store, clock=clock)
+        self.network = peers.LocalPeers(hub=hub, instance=InstanceId(name))
+        self.board = membership.HeartbeatBoard(network=self.network)
+        self.registry = membership.MemberRegistry(
+            store=self.store,
+            clock=clock,
+            lease=self.lease,
+            member=membership.Member(
+                instance=InstanceId(name),
+                incarnation="1",
+                zone=ZoneId("z"),
+                peer_address="",
+                http_address="",
+            ),
+        )
+        self.campaign = membership.OwnershipCampaign(
+            ownership=store_lib.Ownership(
+                store=self.store, instance=InstanceId(name), lease=self.lease
+            ),
+            directory=membership.OwnerDirectory(
+                network=self.network, board=self.board
+            ),
+            network=self.network,
+            clock=clock,
+            view=lambda: self.registry.view,
+            domains=lambda: DOMAINS,
+            factory=RecordingService,
+            may_take_over=self.allow,
+        )
+
+    async def allow(self, domain):
+        return True
+
+    async def start(self):
+        for part in (self.lease, self.registry, self.campaign):
+            await part.start()
+
+    async def stop(self):
+        for part in (self.campaign, self.registry, self.lease):
+            await part.stop()
+
+
+async def make(count=3):
+    clock = clock_lib.ManualClock()
+    memory = store_lib.InMemoryStore(clock=clock)
+    hub = peers.LocalHub(clock=clock)
+    nodes = [Node(clock, memory, hub, n) for n in "xyz"[:count]]
+    for node in nodes:
+        await node.start()
+    return clock, memory, hub, nodes
+
+
+async def run(clock, memory, nodes, seconds):
+    for _ in range(int(seconds / 0.5)):
+        await clock.advance(0.5)
+        memory.expire_leases()
+        for node in nodes:
+            if node.network.instance in node.network.hub.members:
+                await node.network.broadcast(node.board.make())
+
+
+def owners(nodes):
+    return sorted(d for n in nodes for d in n.campaign.owned)
+
+
+class TestOwnershipCampaign:
+    async def test_each_domain_has_one_owner_and_moves_to_the_first(self):
+        """Guards against two owners, and against one that keeps them all."""
+        clock, memory, _, nodes = await make()
+        await run(clock, memory, nodes, 15)
+        assert owners(nodes) == DOMAINS
+        for node in nodes:
+            expected = [
+                d
+                for d in DOMAINS
+                if membership.rendezvous_order(d, ["x", "y", "z"])[0]
+                == node.network.instance
+            ]
+            assert sorted(node.campaign.owned) == expected
+        for node in nodes:
+            await node.stop()
+
+    async def test_crash_is_taken_over_within_five_seconds(self):
+        """Guards against a domain without an owner after a crash."""
+        clock, memory, hub, nodes = await make()
+        await run(clock, memory, nodes, 15)
+        dead = next(n for n in nodes if n.campaign.owned)
+        dead.store.is_down = True
+        hub.remove(dead.network.instance)
+        rest = [n for n in nodes if n is not dead]
+        await run(clock, memory, rest, 5)
+        assert owners(rest) == DOMAINS
+
+    async def test_service_goes_on_through_an_outage(self):
+        """Guards against abandoning running work while the store is down."""
+        clock, memory, _, nodes = await make()
+        await run(clock, memory, nodes, 15)
+        before = {
+            d: n.campaign.service(d) for n in nodes for d in n.campaign.owned
+        }
+        for node in nodes:
+            node.store.is_down = True
+        await run(clock, memory, nodes, 30)
+        assert owners(nodes) == DOMAINS
+        assert all(not s.ended for s in before.values())
+        for node in nodes:
+            node.store.is_down = False
+        await run(clock, memory, nodes, 15)
+        assert owners(nodes) == DOMAINS
+        assert all(s.ended == "abandoned" for s in before.values())
+        for node in nodes:
+            await node.stop()
+
+    async def test_graceful_stop_hands_over_at_once(self):
+        """Guards against waiting for the lease at a planned stop."""
+        clock, memory, hub, nodes = await make(2)
+        await run(clock, memory, nodes, 15)
+        leaving = next(n for n in nodes if n.campaign.owned)
+        other = next(n for n in nodes if n is not leaving)
+        services = [leaving.campaign.service(d) for d in leaving.campaign.owned]
+        await leaving.stop()
+        hub.remove(leaving.network.instance)
+        await run(clock, memory, [other], 1)
+        assert owners([other]) == DOMAINS
+        assert all(s.ended == "stopped" for s in services)
+        await other.stop()
--- /dev/null
+++ b/magnoliaglade/settings/__init__.py
@@ -0,0 +1,6 @@
+"""Process settings in YAML, checked at load."""
+
+from magnoliaglade.settings._errors import Problem, SettingsError
+from magnoliaglade.settings._settings import FIELDS, Settings, load, parse
+
+__all__ = ["FIELDS", "Problem", "Settings", "SettingsError", "load", "parse"]
--- /dev/null
+++ b/magnoliaglade/settings/_settings.py
@@ -0,0 +1,154 @@
+"""Settings of an entry process, read from one YAML file."""
+
+import dataclasses
+import pathlib
+from typing import Any
+
+import yaml
+
+from magnoliaglade import base
+from magnoliaglade.settings import _errors, _fields
+from magnoliaglade.types import InstanceId, ZoneId
+
+_PORT = base.Interval(kind=int, low=0, high=65535)
+
+FIELDS: tuple[_fields.Field, ...] = (
+    _fields.Field(
+        key="instance",
+        rule=_fields.Pattern(max_length=64),
+        help="Id of this instance, unique among the entry instances.",
+    ),
+    _fields.Field(
+        key="zone",
+        rule=_fields.Pattern(max_length=64),
+        help="Availability zone of this instance.",
+    ),
+    _fields.Field(
+        key="http.host",
+        rule=_fields.Pattern(),
+        help="IP address for callers, operators and health checks.",
+    ),
+    _fields.Field(
+        key="http.port",
+        rule=_PORT,
+        help="Port for callers, operators and health checks; 0 picks one.",
+        default=8080,
+    ),
+    _fields.Field(
+        key="peers.host",
+        rule=_fields.Pattern(),
+        help="IP address for the other entry instances.",
+    ),
+    _fields.Field(
+        key="peers.port",
+        rule=_PORT,
+        help="Port for the other entry instances; 0 picks one.",
+        default=7070,
+    ),
+    _fields.Field(
+        key="store.url",
+        rule=_fields.Url(),
+        help="Base URL of the platform's key-value service.",
+    ),
+    _fields.Field(
+        key="store.timeout_s",
+        rule=base.Interval(kind=float, low=0, low_open=True, high=3),
+        help="Deadline of a store call in seconds; below the lease's TTL.",
+        default=1.0,
+    ),
+    _fields.Field(
+        key="instance_list.url",
+        rule=_fields.Url(),
+        help="Base URL of the platform's instance list.",
+    ),
+    _fields.Field(
+        key="instance_list.poll_s",
+        rule=base.Interval(kind=float, low=0.1, high=60),
+        help="Interval of reading the instance list in seconds.",
+        default=1.0,
+    ),
+    _fields.Field(
+        key="operator_key_file",
+        rule=_fields.Pattern(max_length=4096),
+        help="File with the operators' key; the environment variable "
+        "MAGNOLIAGLADE_OPERATOR_KEY goes before it.",
+        default="",
+    ),
+    _fields.Field(
+        key="statsd.host",
+        rule=_fields.Pattern(),
+        help="IP address of the statsd daemon; none is used if empty.",
+        default="",
+    ),
+    _fields.Field(
+        key="statsd.port",
+        rule=_PORT,
+        help="UDP port of the statsd daemon.",
+        default=8125,
+    ),
+    _fields.Field(
+        key="statsd.prefix",
+        rule=_fields.Pattern(max_length=64),
+        help="Prefix of all metric names.",
+        default="magnoliaglade",
+    ),
+    _fields.Field(
+        key="stop_timeout_s",
+        rule=base.Interval(kind=float, low=1, high=600),
+        help="Longest time for requests in flight at a graceful stop.",
+        default=60.0,
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Checked settings; see `FIELDS` for what each value means."""
+
+    instance: InstanceId
+    zone: ZoneId
+    http_host: str
+    http_port: int
+    peers_host: str
+    peers_port: int
+    store_url: str
+    store_timeout_s: float
+    instance_list_url: str
+    instance_list_poll_s: float
+    operator_key_file: str
+    statsd_host: str
+    statsd_port: int
+    statsd_prefix: str
+    stop_timeout_s: float
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: lists every problem with its key.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        data = yaml.safe_load(text)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        reason = " ".join(str(error).split())
+        problem = _errors.Problem(
+            key="(file)", found=reason, allowed="a readable YAML file"
+        )
+        raise _errors.SettingsError(
+            path=str(path), problems=[problem]
+        ) from error
+    return parse(data, path=str(path))
+
+
+def parse(data: Any, *, path: str = "(settings)") -> Settings:
+    """Checks settings that have been read already.
+
+    Raises:
+        SettingsError: lists every problem with its key.
+    """
+    values, problems = _fields.check(FIELDS, data)
+    if problems:
+        raise _errors.SettingsError(path=path, problems=problems)
+    return Settings(**{k.replace(".", "_"): v for k, v in values.items()})
