--- a/magnoliaglade/platform/__init__.py
+++ b/magnoliaglade/platform/__init__.py
@@ -3,5 +3,13 @@
 from magnoliaglade.platform import codec, instance_list, worker
 from magnoliaglade.platform._http_instance_list import HttpInstanceList
 from magnoliaglade.platform._http_worker import HttpWorker
+from magnoliaglade.platform._inventory import InstanceInventory
 
-__all__ = ["HttpInstanceList", "HttpWorker", "codec", "instance_list", "worker"]
+__all__ = [
+    "HttpInstanceList",
+    "HttpWorker",
+    "InstanceInventory",
+    "codec",
+    "instance_list",
+    "worker",
+]
