Add ConfigurationStore: acceptance by compare-and-swap with history

Cause: operators change the configuration at the same time, and answers of the store get lost after the write. Change: stamped config/current and config/history/<revision>; a writer records the revision that it replaces first, so a superseded write is found again; a lost race raises the others' changes; zone changes are repeated over other changes. The store layer exports pack_stamped and unpack_stamped. Conclusion: an unknown outcome is left only while the store is unreachable, and can be resolved later without a second write.

--- a/magnoliaglade/configuration/__init__.py
+++ b/magnoliaglade/configuration/__init__.py
@@ -19,6 +19,9 @@
 from magnoliaglade.configuration._diff import Change, diff
 from magnoliaglade.configuration._errors import (
     ConfigurationError,
+    ConfigurationUnavailableError,
+    ConfigurationUnknownError,
+    ConflictingChangeError,
     InvalidConfigurationError,
 )
 from magnoliaglade.configuration._questionnaire import (
@@ -44,6 +47,12 @@
     ZonePolicy,
     ZoneState,
 )
+from magnoliaglade.configuration._store import (
+    ConfigurationStore,
+    PendingWrite,
+    Stored,
+    with_zone_state,
+)
 
 __all__ = [
     "AccountAnswer",
@@ -53,9 +62,14 @@
     "Change",
     "Configuration",
     "ConfigurationError",
+    "ConfigurationStore",
+    "ConfigurationUnavailableError",
+    "ConfigurationUnknownError",
+    "ConflictingChangeError",
     "Guarantee",
     "InvalidConfigurationError",
     "KindAnswer",
+    "PendingWrite",
     "Problem",
     "Question",
     "RackCapacity",
@@ -63,6 +77,7 @@
     "ServiceAnswer",
     "ServiceConfig",
     "Severity",
+    "Stored",
     "ZoneAnswer",
     "ZoneConfig",
     "ZonePolicy",
@@ -81,4 +96,5 @@
     "questions",
     "to_bytes",
     "to_yaml",
+    "with_zone_state",
 ]
--- a/magnoliaglade/configuration/_errors.py
+++ b/magnoliaglade/configuration/_errors.py
@@ -34,6 +34,43 @@
         )
 
 
+class ConfigurationUnavailableError(ConfigurationError):
+    """The store was not reached; nothing was changed."""
+
+
+class ConfigurationUnknownError(ConfigurationError):
+    """The answer to a write was lost; `ConfigurationStore.resolve` tells.
+
+    Attributes:
+        pending: the write whose outcome is unknown; None for a read.
+    """
+
+    def __init__(self, text: str, *, pending: Any = None) -> None:
+        super().__init__(text)
+        self.pending = pending
+
+
+class ConflictingChangeError(ConfigurationError):
+    """Another operator's change was accepted first; nothing was changed.
+
+    Attributes:
+        base: revision from which the refused configuration was made.
+        theirs: the current configuration; None if there is none.
+        changes: what the others changed since `base`.
+    """
+
+    def __init__(self, *, base: int, theirs: Any, changes: Any) -> None:
+        self.base = base
+        self.theirs = theirs
+        self.changes = changes
+        revision = theirs.revision if theirs else 0
+        lines = "".join(f"\n  {c}" for c in changes)
+        super().__init__(
+            f"made from revision {base}, but revision {revision} is current; "
+            f"changed since:{lines or ' unknown'}"
+        )
+
+
 def shown(value: Any) -> str:
     """Returns a short text for any value."""
     try:
--- /dev/null
+++ b/magnoliaglade/configuration/_store.py
@@ -0,0 +1,403 @@
+"""Accepted revisions of the configuration in the store.
+
+`config/current` holds the current revision and `config/history/<revision>`
+every accepted one, each stamped with the writer and its sequence. A writer
+completes the history of the revision it replaces before it replaces it, so a
+write that was accepted and then superseded can always be found there.
+"""
+
+import contextlib
+import dataclasses
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from magnoliaglade import store as store_lib
+from magnoliaglade.configuration import (
+    _check,
+    _codec,
+    _diff,
+    _errors,
+    _schema,
+)
+from magnoliaglade.types import Revision, ZoneId
+
+CURRENT_KEY = "config/current"
+_HISTORY_PREFIX = "config/history/"
+
+# Each lost attempt means that another change was accepted. At 3,900 changes a
+# day, 50 changes within one call do not occur outside of a fault.
+_CHANGE_ATTEMPTS = 50
+
+Edit = Callable[[_schema.Configuration], _schema.Configuration]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stored:
+    """An accepted configuration.
+
+    Attributes:
+        configuration: the configuration.
+        stamp: identity of the write that made it current.
+        store_revision: revision of the key in the store; 0 if it did not come
+            from the store.
+    """
+
+    configuration: _schema.Configuration
+    stamp: store_lib.Stamp
+    store_revision: int = 0
+
+    def to_bytes(self) -> bytes:
+        """Encodes the configuration with its stamp."""
+        body = _codec.encode(self.configuration)
+        return store_lib.pack_stamped(body, stamp=self.stamp)
+
+    @classmethod
+    def from_bytes(
+        cls, data: bytes, *, source: str, store_revision: int = 0
+    ) -> "Stored":
+        """Decodes a stamped configuration.
+
+        Raises:
+            InvalidConfigurationError: the value is not one.
+        """
+        try:
+            body, stamp = store_lib.unpack_stamped(data)
+        except store_lib.StoreError as error:
+            raise _errors.InvalidConfigurationError(
+                source=source,
+                path="",
+                found=str(error),
+                allowed="a stamped configuration",
+            ) from error
+        return cls(
+            configuration=_codec.decode(
+                _schema.Configuration, body, source=source
+            ),
+            stamp=stamp,
+            store_revision=store_revision,
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PendingWrite:
+    """A write of `config/current` whose outcome may be unknown.
+
+    Attributes:
+        configuration: the configuration to make current.
+        base: revision from which it was made; 0 if it is the first one.
+        expected: revision of the key in the store that it replaces.
+        stamp: identity of the write.
+    """
+
+    configuration: _schema.Configuration
+    base: int
+    expected: int
+    stamp: store_lib.Stamp
+
+
+class ConfigurationStore:
+    """Reads and accepts configurations.
+
+    `writer` must differ between processes and their restarts, because stamps
+    are counted from 1 in each.
+    """
+
+    def __init__(self, *, store: store_lib.Store, writer: str) -> None:
+        self.store = store
+        self.writer = writer
+        self._stamps = store_lib.StampedWriter(store=store, writer=writer)
+
+    async def current(self) -> Stored | None:
+        """Returns the current configuration, or None before the first one.
+
+        Raises:
+            ConfigurationUnavailableError, ConfigurationUnknownError: the store
+                was not reached.
+            InvalidConfigurationError: the stored value is damaged.
+        """
+        return await self._read(CURRENT_KEY)
+
+    async def show(self, revision: int) -> Stored | None:
+        """Returns an accepted revision, or None if the history lacks it."""
+        stored = await self._read(f"{_HISTORY_PREFIX}{revision}")
+        if stored is not None:
+            return stored
+        # The latest revision enters the history after it was accepted.
+        current = await self.current()
+        if current and current.configuration.revision == revision:
+            return current
+        return None
+
+    async def history(self) -> tuple[Stored, ...]:
+        """Returns all accepted revisions, oldest first."""
+        with _translated():
+            entries, _ = await self.store.list_prefix(_HISTORY_PREFIX)
+        found = {s.configuration.revision: s for s in map(_decode, entries)}
+        current = await self.current()
+        if current:
+            found[current.configuration.revision] = current
+        return tuple(found[r] for r in sorted(found))
+
+    async def diff(self, old: int, new: int) -> tuple[_diff.Change, ...]:
+        """Returns the differences between two revisions.
+
+        Raises:
+            InvalidConfigurationError: the history lacks a revision.
+        """
+        pair = []
+        for revision in (old, new):
+            stored = await self.show(revision)
+            if stored is None:
+                raise _errors.InvalidConfigurationError(
+                    source="config/history",
+                    path=str(revision),
+                    found="nothing",
+                    allowed="an accepted revision",
+                )
+            pair.append(stored.configuration)
+        return _diff.diff(*pair)
+
+    async def accept(
+        self,
+        configuration: _schema.Configuration,
+        *,
+        base: int | None = None,
+    ) -> Stored:
+        """Makes a configuration current if nobody else was first.
+
+        Args:
+            configuration: the next configuration.
+            base: revision from which it was made; by default the one before.
+                After the store has lost revisions, the last configuration in
+                force is accepted again with a higher revision over the base
+                that the store has.
+
+        Raises:
+            ConflictingChangeError: another change is current.
+            InvalidConfigurationError: the structure does not pass the check.
+            ConfigurationUnavailableError: nothing was changed.
+            ConfigurationUnknownError: the outcome is unknown, see `resolve`.
+        """
+        base = configuration.revision - 1 if base is None else base
+        _require_acceptable(configuration, base)
+        try:
+            current = await self._prepare(base)
+        except _errors.ConfigurationUnknownError as error:
+            # Nothing but a missing history entry has been written so far.
+            raise _errors.ConfigurationUnavailableError(str(error)) from error
+        return await self.resolve(
+            PendingWrite(
+                configuration=configuration,
+                base=base,
+                expected=current.store_revision if current else 0,
+                stamp=self._stamps.next_stamp(),
+            )
+        )
+
+    async def resolve(self, pending: PendingWrite) -> Stored:
+        """Writes, or finds out whether an earlier attempt was accepted.
+
+        Repeating it never accepts a configuration twice.
+
+        Raises:
+            See `accept`.
+        """
+        try:
+            revision = await self._stamps.put(
+                CURRENT_KEY,
+                _codec.encode(pending.configuration),
+                expected=pending.expected,
+                stamp=pending.stamp,
+            )
+        except store_lib.ConflictError:
+            return await self._superseded(pending)
+        except store_lib.StoreUnknownError as error:
+            raise _errors.ConfigurationUnknownError(
+                str(error), pending=pending
+            ) from error
+        except store_lib.StoreError as error:
+            raise _errors.ConfigurationUnavailableError(str(error)) from error
+        stored = Stored(
+            configuration=pending.configuration,
+            stamp=pending.stamp,
+            store_revision=revision,
+        )
+        # The next writer records it otherwise; see the module comment.
+        with contextlib.suppress(_errors.ConfigurationError):
+            await self._record(stored)
+        return stored
+
+    async def change(self, edit: Edit) -> Stored:
+        """Applies an edit to the current configuration.
+
+        The edit is repeated on the changed configuration when another change
+        is accepted first, so neither is lost. It gets and returns a
+        configuration of the current revision; an edit that changes nothing
+        writes nothing.
+
+        Raises:
+            See `accept`.
+        """
+        for attempt in range(_CHANGE_ATTEMPTS):
+            current = await self.current()
+            if current is None:
+                raise _no_configuration()
+            edited = edit(current.configuration)
+            if edited == current.configuration:
+                return current
+            revision = Revision(current.configuration.revision + 1)
+            try:
+                return await self.accept(
+                    dataclasses.replace(edited, revision=revision)
+                )
+            except _errors.ConflictingChangeError:
+                if attempt == _CHANGE_ATTEMPTS - 1:
+                    raise
+        raise AssertionError("unreachable")
+
+    async def set_zone_state(
+        self, zone: ZoneId, state: _schema.ZoneState
+    ) -> Stored:
+        """Removes a zone from service or returns it.
+
+        Raises:
+            InvalidConfigurationError: the zone is not configured.
+            Otherwise see `accept`.
+        """
+        return await self.change(lambda c: with_zone_state(c, zone, state))
+
+    async def _prepare(self, base: int) -> Stored | None:
+        """Returns the current revision, which is then in the history."""
+        current = await self.current()
+        actual = current.configuration.revision if current else 0
+        if actual != base:
+            raise await self._conflict(base, current)
+        if current is not None:
+            await self._record(current)
+        return current
+
+    async def _superseded(self, pending: PendingWrite) -> Stored:
+        """Finds an accepted and replaced write in the history."""
+        revision = pending.configuration.revision
+        try:
+            recorded = await self._read(f"{_HISTORY_PREFIX}{revision}")
+            if recorded is not None and recorded.stamp == pending.stamp:
+                return recorded
+            current = await self.current()
+            conflict = await self._conflict(pending.base, current)
+        except (
+            _errors.ConfigurationUnavailableError,
+            _errors.ConfigurationUnknownError,
+        ) as error:
+            raise _errors.ConfigurationUnknownError(
+                str(error), pending=pending
+            ) from error
+        raise conflict
+
+    async def _conflict(
+        self, base: int, current: Stored | None
+    ) -> _errors.ConflictingChangeError:
+        made_from = await self._read(f"{_HISTORY_PREFIX}{base}")
+        theirs = current.configuration if current else None
+        changes = ()
+        if made_from is not None and theirs is not None:
+            changes = _diff.diff(made_from.configuration, theirs)
+        return _errors.ConflictingChangeError(
+            base=base, theirs=theirs, changes=changes
+        )
+
+    async def _record(self, stored: Stored) -> None:
+        """Writes a revision to the history unless it is there.
+
+        A write that is repeated after a lost answer has the same content.
+        """
+        key = f"{_HISTORY_PREFIX}{stored.configuration.revision}"
+        recorded = await self._read(key)
+        if recorded is not None and recorded.stamp == stored.stamp:
+            return
+        # Another stamp remains from before the store lost revisions.
+        expected = recorded.store_revision if recorded else 0
+        with _translated():
+            try:
+                await self._stamps.put(
+                    key,
+                    _codec.encode(stored.configuration),
+                    expected=expected,
+                    stamp=stored.stamp,
+                )
+            except store_lib.ConflictError:
+                return
+
+    async def _read(self, key: str) -> Stored | None:
+        with _translated():
+            entry = await self.store.get(key)
+        return None if entry is None else _decode(entry)
+
+
+def with_zone_state(
+    configuration: _schema.Configuration,
+    zone: ZoneId,
+    state: _schema.ZoneState,
+) -> _schema.Configuration:
+    """Returns the configuration with another state of one zone.
+
+    Raises:
+        InvalidConfigurationError: the zone is not configured.
+    """
+    names = [z.zone for z in configuration.zones]
+    if zone not in names:
+        raise _errors.InvalidConfigurationError(
+            source=f"revision {configuration.revision}",
+            path="zones",
+            found=_errors.shown(zone),
+            allowed="one of " + ", ".join(names),
+        )
+    zones = tuple(
+        dataclasses.replace(z, state=state) if z.zone == zone else z
+        for z in configuration.zones
+    )
+    return dataclasses.replace(configuration, zones=zones)
+
+
+def _decode(entry: store_lib.Entry) -> Stored:
+    return Stored.from_bytes(
+        entry.value, source=entry.key, store_revision=entry.revision
+    )
+
+
+def _require_acceptable(
+    configuration: _schema.Configuration, base: int
+) -> None:
+    if configuration.revision <= base:
+        raise _errors.InvalidConfigurationError(
+            source="configuration",
+            path="revision",
+            found=str(configuration.revision),
+            allowed=f"a revision above its base {base}",
+        )
+    # What is stored must be readable, also when it was not built by decoding.
+    _codec.decode(
+        _schema.Configuration,
+        _codec.encode(configuration),
+        source=f"revision {configuration.revision}",
+    )
+    _check.require_structure(configuration)
+
+
+def _no_configuration() -> _errors.ConfigurationError:
+    return _errors.InvalidConfigurationError(
+        source=CURRENT_KEY,
+        path="",
+        found="nothing",
+        allowed="an accepted configuration; accept a generated one first",
+    )
+
+
+@contextlib.contextmanager
+def _translated() -> Iterator[Any]:
+    try:
+        yield
+    except store_lib.StoreUnavailableError as error:
+        raise _errors.ConfigurationUnavailableError(str(error)) from error
+    except store_lib.StoreError as error:
+        raise _errors.ConfigurationUnknownError(str(error)) from error
--- /dev/null
+++ b/magnoliaglade/configuration/tests/test_configuration_store.py
@@ -0,0 +1,183 @@
+"""Tests of acceptance under races, lost answers and outages."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import configuration as configuration_lib
+from magnoliaglade import standins
+from magnoliaglade import store as store_lib
+
+REMOVED = configuration_lib.ZoneState.REMOVED
+
+
+def first(**changes):
+    zones = tuple(
+        configuration_lib.ZoneConfig(zone=f"zone-{n}", region="r")
+        for n in "abc"
+    )
+    return configuration_lib.Configuration(revision=1, zones=zones, **changes)
+
+
+def following(configuration, **changes):
+    return dataclasses.replace(
+        configuration, revision=configuration.revision + 1, **changes
+    )
+
+
+class BeforeWrite(standins.FaultyStore):
+    """Runs an action before the next write of the current revision."""
+
+    action = None
+
+    async def put(self, key, value, **options):
+        action = self.action
+        if key == "config/current" and action is not None:
+            self.action = None
+            await action()
+        return await super().put(key, value, **options)
+
+
+def make():
+    clock = clock_lib.ManualClock()
+    memory = store_lib.InMemoryStore(clock=clock)
+    store = BeforeWrite(store=memory, clock=clock)
+    mine, theirs = (
+        configuration_lib.ConfigurationStore(store=s, writer=w)
+        for s, w in ((store, "mine"), (memory, "theirs"))
+    )
+    return store, mine, theirs
+
+
+class TestConfigurationStore:
+    @pytest.mark.parametrize("is_late", [False, True])
+    async def test_lost_race_carries_the_others_change(self, is_late):
+        """Guards against a change that overwrites another operator's."""
+        store, mine, theirs = make()
+        base = (await mine.accept(first())).configuration
+
+        async def race():
+            await theirs.accept(following(base, entry_instances=6))
+
+        if is_late:
+            store.action = race
+        else:
+            await race()
+        policy = configuration_lib.ZonePolicy.FINISH
+        with pytest.raises(configuration_lib.ConflictingChangeError) as e:
+            await mine.accept(following(base, zone_policy=policy))
+        assert [str(c) for c in e.value.changes] == [
+            "~ entry_instances: 9 -> 6"
+        ]
+        assert e.value.theirs.revision == 2
+        assert (await mine.current()).configuration.entry_instances == 6
+
+    async def test_lost_answer_is_accepted_once(self):
+        """Guards against reporting an accepted change as lost."""
+        store, mine, _ = make()
+        base = (await mine.accept(first())).configuration
+        store.lost_answers = 1
+        stored = await mine.accept(following(base, entry_instances=6))
+        assert await mine.current() == stored
+        assert [s.configuration.revision for s in await mine.history()] == [
+            1,
+            2,
+        ]
+
+    async def test_accepted_and_superseded_write_is_found(self):
+        """Guards against a conflict reported for an accepted change."""
+        store, mine, theirs = make()
+        base = (await mine.accept(first())).configuration
+        put = store.store.put
+
+        async def superseded_put(key, value, **options):
+            if key != "config/current":
+                return await put(key, value, **options)
+            store.store.put = put
+            await put(key, value, **options)
+            await theirs.change(
+                lambda c: dataclasses.replace(c, entry_instances=4)
+            )
+            raise store_lib.StoreUnknownError("answer lost")
+
+        store.store.put = superseded_put
+        stored = await mine.accept(following(base, entry_instances=6))
+        assert stored.configuration.entry_instances == 6
+        assert (await mine.current()).configuration.entry_instances == 4
+        changes = await mine.diff(2, 3)
+        assert [str(c) for c in changes] == ["~ entry_instances: 6 -> 4"]
+
+    @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests"])
+    async def test_unknown_outcome_is_resolved_after_the_outage(self, fault):
+        """Guards against a second write after an outcome was unknown."""
+        store, mine, _ = make()
+        base = (await mine.accept(first())).configuration
+
+        put = store.store.put
+
+        async def last_put(key, value, **options):
+            revision = await put(key, value, **options)
+            store.is_down = key == "config/current"
+            return revision
+
+        if fault == "lost_answers":
+            store.store.put = last_put
+            store.lost_answers = 1
+        else:
+            store.lost_requests = 3
+        with pytest.raises(configuration_lib.ConfigurationUnknownError) as e:
+            await mine.accept(following(base, entry_instances=6))
+        store.is_down, store.store.put = False, put
+        before = store.store.revision
+        stored = await mine.resolve(e.value.pending)
+        assert (await mine.current()).stamp == stored.stamp
+        wrote = fault == "lost_requests"
+        current = await store.get("config/current")
+        assert (current.revision > before) is wrote
+
+    async def test_outage_is_reported_as_nothing_changed(self):
+        """Guards against an unknown outcome before anything was sent."""
+        store, mine, _ = make()
+        store.is_down = True
+        with pytest.raises(configuration_lib.ConfigurationUnavailableError):
+            await mine.accept(first())
+
+    async def test_zone_changes_lose_no_concurrent_change(self):
+        """Guards against a removal that undoes another change."""
+        store, mine, theirs = make()
+        await mine.accept(first())
+
+        async def count(n):
+            for _ in range(n):
+                await theirs.change(
+                    lambda c: dataclasses.replace(
+                        c, entry_instances=c.entry_instances + 1
+                    )
+                )
+
+        store.action = lambda: count(3)
+        await mine.set_zone_state("zone-a", REMOVED)
+        other = configuration_lib.ConfigurationStore(
+            store=store, writer="other"
+        )
+        await asyncio.gather(
+            count(5),
+            mine.set_zone_state("zone-b", REMOVED),
+            other.set_zone_state("zone-c", REMOVED),
+        )
+        current = (await mine.current()).configuration
+        assert current.entry_instances == 9 + 8
+        assert current.zones_in_service == frozenset()
+        assert len(await mine.history()) == current.revision == 12
+
+    async def test_unknown_zone_and_duplicates_are_refused(self):
+        """Guards against a stored configuration that is ambiguous."""
+        _, mine, _ = make()
+        base = (await mine.accept(first())).configuration
+        with pytest.raises(configuration_lib.InvalidConfigurationError) as e:
+            await mine.set_zone_state("zone-x", REMOVED)
+        assert "one of zone-a, zone-b, zone-c" in str(e.value)
+        with pytest.raises(configuration_lib.InvalidConfigurationError):
+            await mine.accept(following(base, zones=base.zones * 2))
--- a/magnoliaglade/store/__init__.py
+++ b/magnoliaglade/store/__init__.py
@@ -21,6 +21,8 @@
 from magnoliaglade.store._memory import InMemoryStore
 from magnoliaglade.store._ownership import Owned, Ownership
 from magnoliaglade.store._stamped import Stamp, StampedWriter
+from magnoliaglade.store._stamped import pack as pack_stamped
+from magnoliaglade.store._stamped import unpack as unpack_stamped
 from magnoliaglade.store.base import Entry, Event, EventKind, Store
 
 __all__ = [
@@ -44,4 +46,6 @@
     "StoreError",
     "StoreUnavailableError",
     "StoreUnknownError",
+    "pack_stamped",
+    "unpack_stamped",
 ]
