--- /dev/null
+++ b/magnoliaglade/configuration/_errors.py
@@ -0,0 +1,83 @@
+"""Errors of the configuration layer."""
+
+from typing import Any
+
+from magnoliaglade import exceptions
+
+# Longer values are cut in messages; an input file may contain anything.
+_SHOWN_CHARACTERS = 80
+
+
+class ConfigurationError(exceptions.MagnoliagladeError):
+    """Base class of the configuration layer's errors."""
+
+
+class InvalidConfigurationError(ConfigurationError):
+    """A value in a file or key is not allowed.
+
+    Attributes:
+        source: file or key that was read.
+        path: place of the value within it.
+        found: the value as text, see `shown`.
+        allowed: what would be accepted.
+    """
+
+    def __init__(
+        self, *, source: str, path: str, found: str, allowed: str
+    ) -> None:
+        self.source = source
+        self.path = path or "(top level)"
+        self.found = found
+        self.allowed = allowed
+        super().__init__(
+            f"{source}: {self.path}: found {self.found}; allowed: {allowed}"
+        )
+
+
+class ConfigurationUnavailableError(ConfigurationError):
+    """The store was not reached; nothing was changed."""
+
+
+class ConfigurationUnknownError(ConfigurationError):
+    """The answer to a write was lost; `ConfigurationStore.resolve` tells.
+
+    Attributes:
+        pending: the write whose outcome is unknown; None for a read.
+    """
+
+    def __init__(self, text: str, *, pending: Any = None) -> None:
+        super().__init__(text)
+        self.pending = pending
+
+
+class ConflictingChangeError(ConfigurationError):
+    """Another operator's change was accepted first; nothing was changed.
+
+    Attributes:
+        base: revision from which the refused configuration was made.
+        theirs: the current configuration; None if there is none.
+        changes: what the others changed since `base`.
+    """
+
+    def __init__(self, *, base: int, theirs: Any, changes: Any) -> None:
+        self.base = base
+        self.theirs = theirs
+        self.changes = changes
+        revision = theirs.revision if theirs else 0
+        lines = "".join(f"\n  {c}" for c in changes)
+        super().__init__(
+            f"made from revision {base}, but revision {revision} is current; "
+            f"changed since:{lines or ' unknown'}"
+        )
+
+
+def shown(value: Any) -> str:
+    """Returns a short text for any value."""
+    try:
+        text = ascii(value)
+    except (ValueError, RecursionError):
+        # Integers beyond the interpreter's digit limit have no text.
+        text = f"a value of type {type(value).__name__}"
+    if len(text) <= _SHOWN_CHARACTERS:
+        return text
+    return text[:_SHOWN_CHARACTERS] + "..."
