Add scheduling decisions: placement, cells, order, reclaim, policies

Change: whole-gang best-fit placement over tabulated free slots; guarantees as cells that are laid out per zone after every start that cannot be evicted; reclaim of the fewest and youngest borrowers; order by priority, deadline, response ratio and share; reservations with backfill; permanent refusals with a reason; the policies cells and first-fit; apply_plan.

--- a/magnoliaglade/scheduling/__init__.py
+++ b/magnoliaglade/scheduling/__init__.py
@@ -1,5 +1,9 @@
 """Scheduling decisions as pure functions over a typed snapshot."""
 
+from magnoliaglade.scheduling._cells import GuaranteeLedger, bind_guarantees
+from magnoliaglade.scheduling._cells_policy import CellsPolicy
+from magnoliaglade.scheduling._errors import InvalidPlanError, SchedulingError
+from magnoliaglade.scheduling._first_fit import FirstFitPolicy
 from magnoliaglade.scheduling._model import (
     Adjacency,
     ClusterSnapshot,
@@ -17,21 +21,32 @@
     Worker,
     WorkerState,
 )
+from magnoliaglade.scheduling._plan import apply_plan, decide
+from magnoliaglade.scheduling.base import Policy
 
 __all__ = [
     "Adjacency",
+    "CellsPolicy",
     "ClusterSnapshot",
     "Eviction",
+    "FirstFitPolicy",
     "Gang",
+    "GuaranteeLedger",
     "GuaranteedCells",
+    "InvalidPlanError",
     "Placement",
     "Plan",
+    "Policy",
     "Priority",
     "Refusal",
     "RefusalReason",
     "Reservation",
     "RunningGang",
+    "SchedulingError",
     "Shape",
     "Worker",
     "WorkerState",
+    "apply_plan",
+    "bind_guarantees",
+    "decide",
 ]
--- /dev/null
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -0,0 +1,294 @@
+"""Free capacity of a snapshot and whole-gang placement on it.
+
+The index is built once per decision. Slots (how many tasks of a shape a
+worker still holds) are tabulated per distinct shape with totals per zone and
+rack, so a gang that does not fit is rejected without a look at the workers.
+"""
+
+import dataclasses
+import math
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping
+
+from magnoliaglade.scheduling import _model
+from magnoliaglade.types import JobId, RackId, WorkerId, ZoneId
+
+# Absorbs rounding in sums of fractional cores and memory.
+_EPSILON = 1e-6
+
+Assignments = tuple[tuple[WorkerId, int], ...]
+RackKey = tuple[ZoneId, RackId]
+
+
+def slots_in(
+    cores: float, memory_gb: float, accelerators: int, shape: _model.Shape
+) -> int:
+    """Returns how many tasks of `shape` fit into the given resources."""
+    counts = []
+    if shape.accelerators > 0:
+        counts.append(accelerators // shape.accelerators)
+    if shape.cores > 0:
+        counts.append(int((cores + _EPSILON) // shape.cores))
+    if shape.memory_gb > 0:
+        counts.append(int((memory_gb + _EPSILON) // shape.memory_gb))
+    # A task that declares nothing still counts as one accelerator's worth,
+    # because unlimited slots would hide a missing declaration.
+    return max(0, min(counts, default=max(accelerators, 1)))
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _SlotTable:
+    """Slots of one shape by worker, with totals by rack and zone."""
+
+    workers: dict[WorkerId, int]
+    racks: dict[RackKey, int]
+    zones: dict[ZoneId, int]
+
+
+class Capacity:
+    """Free resources by worker; changed by `allocate` and `release`.
+
+    Only workers that may get new tasks (available or on probation, in a
+    startable zone) offer slots; `any_state` counts all workers, for the
+    question whether a gang could ever run. Resources of running gangs are
+    tracked on all workers.
+    """
+
+    def __init__(
+        self,
+        *,
+        workers: Mapping[WorkerId, _model.Worker],
+        running: Iterable[_model.RunningGang],
+        zones: Collection[ZoneId],
+        any_state: bool = False,
+    ) -> None:
+        self.workers = workers
+        self.zones = zones
+        self.free: dict[WorkerId, list[float]] = {
+            w: [x.shape.cores, x.shape.memory_gb, x.shape.accelerators]
+            for w, x in workers.items()
+        }
+        self.usable = [
+            w
+            for w, x in workers.items()
+            if x.zone in zones and (any_state or is_startable(x))
+        ]
+        self._usable_set = frozenset(self.usable)
+        self.by_rack: dict[RackKey, list[WorkerId]] = defaultdict(list)
+        self.by_zone: dict[ZoneId, list[WorkerId]] = defaultdict(list)
+        for w in self.usable:
+            x = workers[w]
+            self.by_rack[x.zone, x.rack].append(w)
+            self.by_zone[x.zone].append(w)
+        self._tables: dict[_model.Shape, _SlotTable] = {}
+        for gang in running:
+            self._take(gang.placement.assignments, gang.gang.shape, 1)
+
+    def allocate(self, assignments: Assignments, shape: _model.Shape) -> None:
+        """Takes the resources of a placed gang."""
+        self._take(assignments, shape, 1)
+        self._refresh(w for w, _ in assignments)
+
+    def release(self, assignments: Assignments, shape: _model.Shape) -> None:
+        """Gives the resources of a gang back."""
+        self._take(assignments, shape, -1)
+        self._refresh(w for w, _ in assignments)
+
+    def slots(self, worker: WorkerId, shape: _model.Shape) -> int:
+        """Returns how many tasks of `shape` the worker still holds."""
+        if worker not in self._usable_set:
+            return 0
+        return slots_in(*self.free[worker], shape)
+
+    def find(
+        self,
+        gang: _model.Gang,
+        *,
+        withheld: Collection[WorkerId] = frozenset(),
+        best_fit: bool = True,
+    ) -> Assignments | None:
+        """Places the whole gang, or returns None.
+
+        Args:
+            gang: the gang to place.
+            withheld: workers that it must not use.
+            best_fit: fill the smallest sufficient group and the most used
+                workers first; otherwise take workers in order of their id.
+        """
+        table = self._table(gang.shape)
+        best: tuple[tuple, list[WorkerId]] | None = None
+        for group, total in self._groups(table, gang.adjacency):
+            if total < gang.tasks:
+                continue
+            members = self._members(group, table, withheld)
+            if sum(table.workers[w] for w in members) < gang.tasks:
+                continue
+            if not best_fit:
+                return self.fill(members, table.workers, gang, best_fit=False)
+            key = self._group_key(members)
+            if best is None or key < best[0]:
+                best = (key, members)
+        if best is None:
+            return None
+        return self.fill(best[1], table.workers, gang)
+
+    def fits(self, gang: _model.Gang) -> bool:
+        """Tells whether the whole gang fits, without placing it."""
+        table = self._table(gang.shape)
+        groups = self._groups(table, gang.adjacency)
+        return any(total >= gang.tasks for _, total in groups)
+
+    def fill(
+        self,
+        members: Iterable[WorkerId],
+        slots: Mapping[WorkerId, int],
+        gang: _model.Gang,
+        *,
+        best_fit: bool = True,
+    ) -> Assignments:
+        """Spreads a gang over members that hold it.
+
+        Best fit uses the most used workers first and ends on the smallest
+        worker that holds the rest, which keeps unused workers whole.
+        """
+        order = list(members)
+        if best_fit:
+            free = self.free
+            order.sort(key=lambda w: (free[w][2], free[w][0], w))
+        left, result = gang.tasks, []
+        for n, w in enumerate(order):
+            if slots[w] >= left:
+                rest = order[n:] if best_fit else (w,)
+                last = min(rest, key=lambda x: _overshoot(slots[x], left))
+                result.append((last, left))
+                break
+            if slots[w] > 0:
+                result.append((w, slots[w]))
+                left -= slots[w]
+        return tuple(sorted(result))
+
+    def _groups(
+        self, table: _SlotTable, adjacency: _model.Adjacency
+    ) -> Iterable[tuple[object, int]]:
+        if adjacency is _model.Adjacency.WORKER:
+            return table.workers.items()
+        if adjacency is _model.Adjacency.RACK:
+            return table.racks.items()
+        if adjacency is _model.Adjacency.ZONE:
+            return table.zones.items()
+        return ((None, sum(table.zones.values())),)
+
+    def _members(
+        self,
+        group: object,
+        table: _SlotTable,
+        withheld: Collection[WorkerId],
+    ) -> list[WorkerId]:
+        if group is None:
+            pool = self.usable
+        elif isinstance(group, tuple):
+            pool = self.by_rack[group]
+        elif group in table.workers:
+            pool = [group]
+        else:
+            pool = self.by_zone[group]
+        slots = table.workers
+        return [w for w in pool if slots[w] > 0 and w not in withheld]
+
+    def _group_key(self, members: list[WorkerId]) -> tuple:
+        free = self.free
+        return (
+            sum(free[w][2] for w in members),
+            sum(free[w][0] for w in members),
+            members[0],
+        )
+
+    def _table(self, shape: _model.Shape) -> _SlotTable:
+        table = self._tables.get(shape)
+        if table is not None:
+            return table
+        table = _SlotTable(
+            workers={w: slots_in(*self.free[w], shape) for w in self.usable},
+            racks=defaultdict(int),
+            zones=defaultdict(int),
+        )
+        for rack, members in self.by_rack.items():
+            total = sum(table.workers[w] for w in members)
+            table.racks[rack] = total
+            table.zones[rack[0]] += total
+        self._tables[shape] = table
+        return table
+
+    def _refresh(self, changed: Iterable[WorkerId]) -> None:
+        for w in changed:
+            if w not in self._usable_set:
+                continue
+            x = self.workers[w]
+            for shape, table in self._tables.items():
+                after = slots_in(*self.free[w], shape)
+                delta = after - table.workers[w]
+                if delta:
+                    table.workers[w] = after
+                    table.racks[x.zone, x.rack] += delta
+                    table.zones[x.zone] += delta
+
+    def _take(
+        self, assignments: Assignments, shape: _model.Shape, sign: int
+    ) -> None:
+        free = self.free
+        for w, count in assignments:
+            left = free.get(w)
+            if left is None:
+                continue
+            count *= sign
+            left[0] -= shape.cores * count
+            left[1] -= shape.memory_gb * count
+            left[2] -= shape.accelerators * count
+
+
+def is_startable(worker: _model.Worker) -> bool:
+    """Tells whether a worker's state allows new tasks."""
+    return worker.state in (
+        _model.WorkerState.AVAILABLE,
+        _model.WorkerState.PROBATION,
+    )
+
+
+def jobs_by_worker(
+    running: Iterable[_model.RunningGang],
+) -> dict[WorkerId, list[JobId]]:
+    """Returns the jobs on each worker."""
+    result: dict[WorkerId, list[JobId]] = defaultdict(list)
+    for gang in running:
+        for w, _ in gang.placement.assignments:
+            result[w].append(gang.gang.job)
+    return result
+
+
+def groups(
+    workers: Mapping[WorkerId, _model.Worker],
+    adjacency: _model.Adjacency,
+    pool: Collection[WorkerId],
+) -> list[list[WorkerId]]:
+    """Splits workers into the groups within which a gang must stay."""
+    result: dict = defaultdict(list)
+    for w in pool:
+        key = _group_of(w, workers[w], adjacency)
+        result[key].append(w)
+    return list(result.values())
+
+
+def _group_of(
+    worker_id: WorkerId, worker: _model.Worker, adjacency: _model.Adjacency
+) -> object:
+    if adjacency is _model.Adjacency.WORKER:
+        return worker_id
+    if adjacency is _model.Adjacency.RACK:
+        return (worker.zone, worker.rack)
+    if adjacency is _model.Adjacency.ZONE:
+        return worker.zone
+    return None
+
+
+def _overshoot(slots: int, need: int) -> float:
+    return slots - need if slots >= need else math.inf
--- /dev/null
+++ b/magnoliaglade/scheduling/_cells_policy.py
@@ -0,0 +1,172 @@
+"""Default policy: guarantees as cells, ordered starts, backfill, reclaim."""
+
+from magnoliaglade import base, kernel
+from magnoliaglade.scheduling import (
+    _capacity,
+    _cells,
+    _model,
+    _order,
+    _reclaim,
+    _refusals,
+    _reserve,
+)
+from magnoliaglade.scheduling import base as scheduling_base
+
+# Searching victims costs a pass over the workers, so a long queue of gangs
+# that cannot reclaim must not repeat it for each of them.
+_SEARCHES_MAX = 16
+
+
+@kernel.register("policy", "cells")
+class CellsPolicy(scheduling_base.Policy):
+    """Keeps guarantees as cells and uses what is left for all accounts."""
+
+    _parameter_constraints = {
+        "searches_max": [base.Interval(kind=int, low=0)],
+    }
+
+    def __init__(self, *, searches_max: int = _SEARCHES_MAX) -> None:
+        self.searches_max = searches_max
+
+    def plan(
+        self, snapshot: _model.ClusterSnapshot, *, seed: int
+    ) -> _model.Plan:
+        """Returns the plan for a snapshot."""
+        self.validate_params()
+        return _Decision(snapshot=snapshot, searches_max=self.searches_max).run(
+            seed
+        )
+
+
+class _Decision:
+    """State of one decision while the plan is made."""
+
+    def __init__(
+        self, *, snapshot: _model.ClusterSnapshot, searches_max: int
+    ) -> None:
+        self.snapshot = snapshot
+        self._searches_left = searches_max
+        self._usage = _order.Usage.of(snapshot)
+        self._capacity = _capacity.Capacity(
+            workers=snapshot.workers,
+            running=snapshot.running.values(),
+            zones=snapshot.startable_zones,
+        )
+        self._ledger = _cells.GuaranteeLedger(
+            workers=snapshot.workers,
+            running=snapshot.running.values(),
+            guarantees=snapshot.guarantees,
+        )
+        self._reclaimer = _reclaim.Reclaimer(
+            capacity=self._capacity, running=snapshot.running
+        )
+        self._reserver = _reserve.Reserver(
+            snapshot=snapshot, capacity=self._capacity
+        )
+        self._judge = _refusals.Judge(snapshot=snapshot, usage=self._usage)
+        self._starts: list[_model.Placement] = []
+        self._evictions: list[_model.Eviction] = []
+        self._refusals: list[_model.Refusal] = []
+        # Smallest gang known not to fit, by shape and adjacency; room only
+        # shrinks until something is evicted.
+        self._too_many: dict[tuple, int] = {}
+
+    def run(self, seed: int) -> _model.Plan:
+        order = _order.in_order(self.snapshot, self._usage, seed=seed)
+        for gang in order:
+            refusal = self._judge.before_placement(gang)
+            if refusal is None and not self._start(gang):
+                refusal = self._judge.unplaced(gang)
+                self._keep_workers(gang, refusal)
+            if refusal is not None:
+                self._refusals.append(refusal)
+        return _model.Plan(
+            starts=tuple(self._starts),
+            evictions=tuple(self._evictions),
+            reservations=tuple(self._reserver.reservations),
+            refusals=tuple(self._refusals),
+        )
+
+    def _start(self, gang: _model.Gang) -> bool:
+        rooms = self._rooms(gang)
+        for room in rooms:
+            found = _reclaim.place_in_cells(self._capacity, gang, room)
+            if found and self._commit(gang, found):
+                return True
+        found = self._find(gang)
+        if found and self._commit(gang, found):
+            return True
+        return self._start_by_eviction(gang, rooms)
+
+    def _rooms(self, gang: _model.Gang) -> list[_cells.Units]:
+        zones = self._ledger.zones_of(gang.account)
+        rooms = [
+            self._ledger.room(gang.account, z)
+            for z in zones
+            if z in self.snapshot.startable_zones
+        ]
+        need = gang.tasks * gang.shape.accelerators
+        return [r for r in rooms if sum(r.values()) >= max(need, 1)]
+
+    def _find(self, gang: _model.Gang) -> _capacity.Assignments | None:
+        withheld = self._reserver.withheld_from(gang)
+        key = (gang.shape, gang.adjacency, withheld)
+        if gang.tasks >= self._too_many.get(key, gang.tasks + 1):
+            return None
+        found = self._capacity.find(gang, withheld=withheld)
+        if found is None:
+            self._too_many[key] = gang.tasks
+        return found
+
+    def _start_by_eviction(
+        self, gang: _model.Gang, rooms: list[_cells.Units]
+    ) -> bool:
+        is_urgent = gang.priority is _model.Priority.URGENT
+        if not (rooms or is_urgent) or self._searches_left <= 0:
+            return False
+        self._searches_left -= 1
+        for room in rooms:
+            found = self._reclaimer.within_cells(gang, room)
+            if found and self._commit(gang, found.assignments, found.victims):
+                return True
+        if not is_urgent:
+            return False
+        found = self._reclaimer.anywhere(gang)
+        return found is not None and self._commit(
+            gang, found.assignments, found.victims
+        )
+
+    def _commit(
+        self,
+        gang: _model.Gang,
+        assignments: _capacity.Assignments,
+        victims: tuple = (),
+    ) -> bool:
+        borrowed = self._ledger.try_start(gang, assignments)
+        if borrowed is None:
+            return False
+        for job in victims:
+            victim = self._reclaimer.remove(job)
+            self._capacity.release(
+                victim.placement.assignments, victim.gang.shape
+            )
+            self._usage.add(victim.gang, sign=-1)
+            self._evictions.append(
+                _model.Eviction(job=job, beneficiary=gang.job)
+            )
+            self._too_many.clear()
+        self._capacity.allocate(assignments, gang.shape)
+        self._usage.add(gang)
+        self._starts.append(
+            _model.Placement(
+                job=gang.job, assignments=assignments, borrowed=borrowed
+            )
+        )
+        return True
+
+    def _keep_workers(self, gang: _model.Gang, refusal: _model.Refusal) -> None:
+        if self._reserver.is_full or refusal.permanent:
+            return
+        waited = self.snapshot.now_s - gang.submitted_at_s
+        if _order.is_large(gang) and waited > _order.LARGE_WAIT_S:
+            self._reserver.reserve(gang)
--- /dev/null
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -0,0 +1,232 @@
+"""Choice of borrowers to evict for a gang: the fewest, then the youngest."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from magnoliaglade.scheduling import _capacity, _cells, _model
+from magnoliaglade.types import JobId, WorkerId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reclaim:
+    """A placement and the borrowers that must leave first."""
+
+    victims: tuple[JobId, ...]
+    assignments: _capacity.Assignments
+
+
+class Reclaimer:
+    """Finds room for gangs by evicting borrowers."""
+
+    def __init__(
+        self,
+        *,
+        capacity: _capacity.Capacity,
+        running: Mapping[JobId, _model.RunningGang],
+    ) -> None:
+        self.capacity = capacity
+        self._borrowers = {
+            job: gang
+            for job, gang in running.items()
+            if _cells.is_evictable(gang)
+        }
+        self._on_worker = _capacity.jobs_by_worker(self._borrowers.values())
+
+    def remove(self, job: JobId) -> _model.RunningGang:
+        """Forgets an evicted borrower and returns it."""
+        return self._borrowers.pop(job)
+
+    def within_cells(
+        self, gang: _model.Gang, room: Mapping[WorkerId, int]
+    ) -> Reclaim | None:
+        """Makes room inside the unused cells of the gang's account.
+
+        Args:
+            gang: the gang to place.
+            room: unused accelerators of the account's cells, by worker.
+        """
+        limits = cell_slots(self.capacity, gang.shape, room)
+
+        def may_evict(victim: _model.RunningGang) -> bool:
+            # Work of the same account uses the account's capacity as
+            # intended, unless it is less important.
+            return (
+                victim.gang.account != gang.account
+                or victim.gang.priority < gang.priority
+            )
+
+        return self._search(gang, limits, may_evict)
+
+    def anywhere(self, gang: _model.Gang) -> Reclaim | None:
+        """Makes room for urgent work among borrowers of lower priority."""
+        limits = dict.fromkeys(self.capacity.usable, gang.tasks)
+
+        def may_evict(victim: _model.RunningGang) -> bool:
+            return victim.gang.priority < gang.priority
+
+        return self._search(gang, limits, may_evict)
+
+    def _search(self, gang, limits, may_evict) -> Reclaim | None:
+        best: tuple | None = None
+        for members in _capacity.groups(
+            self.capacity.workers, gang.adjacency, limits
+        ):
+            found = self._in_group(gang, members, limits, may_evict)
+            if found is None:
+                continue
+            key = self._cost(found)
+            if best is None or key < best[0]:
+                best = (key, found)
+        return best[1] if best else None
+
+    def _cost(self, reclaim: Reclaim) -> tuple:
+        age = sum(-self._borrowers[v].started_at_s for v in reclaim.victims)
+        return (len(reclaim.victims), age, reclaim.victims)
+
+    def _in_group(self, gang, members, limits, may_evict) -> Reclaim | None:
+        trial = _Trial(
+            capacity=self.capacity,
+            members=members,
+            limits=limits,
+            shape=gang.shape,
+        )
+        jobs = {j for w in members for j in self._on_worker.get(w, ())}
+        candidates = [
+            self._borrowers[j]
+            for j in jobs
+            if j in self._borrowers and may_evict(self._borrowers[j])
+        ]
+        candidates.sort(key=lambda r: (-r.started_at_s, r.gang.job))
+        victims = _fewest(trial, candidates, gang.tasks)
+        if victims is None:
+            return None
+        trial.reset(victims)
+        slots = trial.slots
+        order = [w for w in members if slots[w] > 0]
+        return Reclaim(
+            victims=tuple(sorted(v.gang.job for v in victims)),
+            assignments=self.capacity.fill(order, slots, gang),
+        )
+
+
+class _Trial:
+    """Slots on a group of workers as borrowers are taken away."""
+
+    def __init__(self, *, capacity, members, limits, shape) -> None:
+        self.capacity = capacity
+        self.members = members
+        self.limits = limits
+        self.shape = shape
+        self._set = frozenset(members)
+        self.reset(())
+
+    def reset(self, victims: Iterable[_model.RunningGang]) -> int:
+        """Starts over with these victims; returns the total of slots."""
+        self._free = {w: list(self.capacity.free[w]) for w in self.members}
+        self.slots = {w: self._count(w) for w in self.members}
+        self.total = sum(self.slots.values())
+        for victim in victims:
+            self.add(victim)
+        return self.total
+
+    def add(self, victim: _model.RunningGang, sign: int = 1) -> int:
+        """Takes a victim away, or puts it back; returns the total."""
+        shape = victim.gang.shape
+        for w, count in victim.placement.assignments:
+            if w not in self._set:
+                continue
+            free = self._free[w]
+            free[0] += sign * count * shape.cores
+            free[1] += sign * count * shape.memory_gb
+            free[2] += sign * count * shape.accelerators
+            after = self._count(w)
+            self.total += after - self.slots[w]
+            self.slots[w] = after
+        return self.total
+
+    def weight(self, victim: _model.RunningGang) -> float:
+        """Returns how much of the needed resources a victim holds here."""
+        shape = victim.gang.shape
+        tasks = sum(
+            n for w, n in victim.placement.assignments if w in self._set
+        )
+        if self.shape.accelerators:
+            return tasks * shape.accelerators
+        return tasks * shape.cores
+
+    def _count(self, worker: WorkerId) -> int:
+        slots = _capacity.slots_in(*self._free[worker], self.shape)
+        return min(slots, self.limits[worker])
+
+
+def cell_slots(
+    capacity: _capacity.Capacity,
+    shape: _model.Shape,
+    room: Mapping[WorkerId, int],
+) -> dict[WorkerId, int]:
+    """Returns how many tasks the given parts of workers hold when empty."""
+    result = {}
+    for w, units in room.items():
+        worker = capacity.workers[w]
+        if worker.zone not in capacity.zones or not worker.shape.accelerators:
+            continue
+        part = units / worker.shape.accelerators
+        slots = _capacity.slots_in(
+            worker.shape.cores * part,
+            worker.shape.memory_gb * part,
+            units,
+            shape,
+        )
+        if slots:
+            result[w] = slots
+    return result
+
+
+def place_in_cells(
+    capacity: _capacity.Capacity,
+    gang: _model.Gang,
+    room: Mapping[WorkerId, int],
+) -> _capacity.Assignments | None:
+    """Places a gang in the free part of its account's cells, or not."""
+    limits = cell_slots(capacity, gang.shape, room)
+    slots = {
+        w: min(n, capacity.slots(w, gang.shape)) for w, n in limits.items()
+    }
+    for members in _capacity.groups(capacity.workers, gang.adjacency, slots):
+        if sum(slots[w] for w in members) >= gang.tasks:
+            members = [w for w in members if slots[w] > 0]
+            return capacity.fill(members, slots, gang)
+    return None
+
+
+def _fewest(
+    trial: _Trial, candidates: list[_model.RunningGang], need: int
+) -> list[_model.RunningGang] | None:
+    """Chooses victims from candidates sorted youngest first.
+
+    A single sufficient victim is taken if there is one, the youngest first.
+    Otherwise the largest are taken until the gang fits, and then those that
+    turned out to be unnecessary are put back, the oldest first.
+    """
+    if trial.total >= need:
+        return []
+    by_size = sorted(candidates, key=lambda r: -trial.weight(r))
+    if sum(map(trial.weight, by_size)) <= 0:
+        return None
+    for victim in candidates:
+        if trial.add(victim) >= need:
+            return [victim]
+        trial.add(victim, sign=-1)
+    chosen = []
+    for victim in by_size:
+        chosen.append(victim)
+        if trial.add(victim) >= need:
+            break
+    else:
+        return None
+    for victim in sorted(chosen, key=lambda r: r.started_at_s):
+        if trial.add(victim, sign=-1) >= need:
+            chosen.remove(victim)
+        else:
+            trial.add(victim)
+    return chosen
--- /dev/null
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -0,0 +1,102 @@
+"""Reservations: workers kept for a waiting gang, and backfill beside them."""
+
+from collections.abc import Mapping
+
+from magnoliaglade.scheduling import _capacity, _model, _order
+from magnoliaglade.types import WorkerId
+
+# Workers held for more gangs than this would stand idle for long, as the
+# ends of running work are only estimates.
+RESERVATIONS_MAX = 2
+
+
+class Reserver:
+    """Keeps workers for gangs that cannot start yet.
+
+    A gang that starts on kept workers must probably end before the
+    reservation is due (backfill).
+    """
+
+    def __init__(
+        self,
+        *,
+        snapshot: _model.ClusterSnapshot,
+        capacity: _capacity.Capacity,
+    ) -> None:
+        self.snapshot = snapshot
+        self.capacity = capacity
+        self.reservations: list[_model.Reservation] = []
+        self._ends: dict[WorkerId, float] | None = None
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further gang gets a reservation."""
+        return len(self.reservations) >= RESERVATIONS_MAX
+
+    def withheld_from(self, gang: _model.Gang) -> frozenset[WorkerId]:
+        """Returns the workers that the gang must not use."""
+        if not self.reservations:
+            return frozenset()
+        now = self.snapshot.now_s
+        end = now + _order.expected_run_s(self.snapshot, gang)
+        late = [r.workers for r in self.reservations if end > r.until_s]
+        return frozenset().union(*late)
+
+    def reserve(self, gang: _model.Gang) -> None:
+        """Keeps the workers on which the gang can start the earliest."""
+        taken = frozenset().union(*(r.workers for r in self.reservations))
+        slots = {}
+        for w in self.capacity.usable:
+            if w in taken:
+                continue
+            total = self.capacity.workers[w].shape
+            if n := _capacity.slots_in(
+                total.cores, total.memory_gb, total.accelerators, gang.shape
+            ):
+                slots[w] = n
+        best: tuple[float, list[WorkerId]] | None = None
+        for members in _capacity.groups(
+            self.capacity.workers, gang.adjacency, slots
+        ):
+            found = self._earliest(gang, members, slots)
+            if found and (best is None or found[0] < best[0]):
+                best = found
+        if best is None:
+            return
+        self.reservations.append(
+            _model.Reservation(
+                job=gang.job, workers=frozenset(best[1]), until_s=best[0]
+            )
+        )
+
+    def _earliest(
+        self,
+        gang: _model.Gang,
+        members: list[WorkerId],
+        slots: Mapping[WorkerId, int],
+    ) -> tuple[float, list[WorkerId]] | None:
+        """Adds workers in order of the time at which they become empty."""
+        if sum(slots[w] for w in members) < gang.tasks:
+            return None
+        timed = sorted((self._empty_at(w), w) for w in members)
+        chosen, left = [], gang.tasks
+        for end, w in timed:
+            chosen.append(w)
+            left -= slots[w]
+            if left <= 0:
+                return end, chosen
+        return None
+
+    def _empty_at(self, worker: WorkerId) -> float:
+        if self._ends is None:
+            self._ends = self._latest_ends()
+        return self._ends.get(worker, self.snapshot.now_s)
+
+    def _latest_ends(self) -> dict[WorkerId, float]:
+        latest: dict[WorkerId, float] = {}
+        for job, running in self.snapshot.running.items():
+            end = _order.expected_end_s(self.snapshot, job)
+            for w, _ in running.placement.assignments:
+                if end > latest.get(w, 0.0):
+                    latest[w] = end
+        return latest
