--- /dev/null
+++ b/magnoliaglade/execution/__init__.py
@@ -0,0 +1,1 @@
+"""The owner of one scheduling domain and its renewal delegate."""
--- a/magnoliaglade/standins/_worker.py
+++ b/magnoliaglade/standins/_worker.py
@@ -51,6 +51,7 @@
     ended_s: float | None = None
     checkpoint: str = ""
     checkpoint_due_s: float | None = None
+    checkpoint_count: int = 0
     detail: str = ""
 
     @property
@@ -133,9 +134,14 @@
         key = (request.domain, request.job, request.attempt)
         expires_s = self.clock.now() + request.ttl_s
         for name, held in self._reservations.items():
-            if _reservation_key(held) == key:
+            if _reservation_key(held) != key:
+                continue
+            if held.request.count == request.count:
                 held.expires_s = expires_s
                 return worker_lib.ReservationReply(reservation=name)
+            # A new placement of the same attempt replaces the old one.
+            del self._reservations[name]
+            break
         if any(t.key == key for t in self._tasks.values()):
             raise worker_lib.WorkerRefusedError("the attempt has tasks here")
         if not self._has_room(request):
@@ -186,7 +192,8 @@
         self._enter(request.domain, request.epoch)
         key = (request.domain, request.job, request.attempt)
         for task in self._of(key):
-            if task.phase is worker_lib.TaskPhase.RUNNING:
+            is_running = task.phase is worker_lib.TaskPhase.RUNNING
+            if is_running and task.checkpoint_due_s is None:
                 task.checkpoint_due_s = self.clock.now() + self.checkpoint_s
 
     async def throttle(self, request: worker_lib.TaskCommand) -> None:
@@ -343,9 +350,9 @@
 def _advance_task(task: _Task, now: float) -> None:
     due_s = task.checkpoint_due_s
     if due_s is not None and due_s <= min(now, task.lease_until_s):
-        written_s = due_s - (task.started_s or due_s)
-        task.checkpoint = f"{task.request.job}/{task.request.attempt}"
-        task.checkpoint += f"/{written_s:.3f}"
+        task.checkpoint_count += 1
+        request, count = task.request, task.checkpoint_count
+        task.checkpoint = f"{request.job}/{request.attempt}/{count}"
         task.checkpoint_due_s = None
     phase, run_s = _outcome(task.request.spec.command)
     ends_s = float("inf")
--- a/magnoliaglade/standins/tests/test_worker.py
+++ b/magnoliaglade/standins/tests/test_worker.py
@@ -122,7 +122,7 @@
         await worker.stop(command)
         report = await worker.renew(renew_request())
         assert phases(report) == {worker_lib.TaskPhase.STOPPED}
-        assert {t.checkpoint for t in report.tasks} == {"j/1/0.500"}
+        assert {t.checkpoint for t in report.tasks} == {"j/1/1"}
         await worker.release(command)
         await worker.reserve(reserve_request(count=4))
 
