Add launch of a gang in five steps

Cause: a gang must start whole or not at all whatever fails on the way. Change: reserve, decide, commit, activate, confirm with authority, zone and cancellation checked before every call; lost answers are asked for again; any failure releases what is reserved or held. Conclusion: what may have run after a failed launch is left to the stopper.

--- a/magnoliaglade/execution/__init__.py
+++ b/magnoliaglade/execution/__init__.py
@@ -1,1 +1,51 @@
 """The owner of one scheduling domain and its renewal delegate."""
+
+from magnoliaglade.execution._errors import (
+    ExecutionError,
+    ForwardError,
+    NotOwnerError,
+    NotRunError,
+    OutcomeUnknownError,
+    RecordError,
+    UnknownJobError,
+)
+from magnoliaglade.execution._launch import (
+    GANG_CONFIRM_S,
+    RESERVATION_TTL_S,
+    TASK_LEASE_TTL_S,
+    LaunchOutcome,
+    LaunchStep,
+)
+from magnoliaglade.execution._records import (
+    Accepted,
+    FailureCause,
+    JobEntry,
+    JobPhase,
+    JobSpec,
+    decode_record,
+    encode_record,
+)
+from magnoliaglade.execution._table import JobTable
+
+__all__ = [
+    "GANG_CONFIRM_S",
+    "RESERVATION_TTL_S",
+    "TASK_LEASE_TTL_S",
+    "Accepted",
+    "ExecutionError",
+    "FailureCause",
+    "ForwardError",
+    "JobEntry",
+    "JobPhase",
+    "JobSpec",
+    "JobTable",
+    "LaunchOutcome",
+    "LaunchStep",
+    "NotOwnerError",
+    "NotRunError",
+    "OutcomeUnknownError",
+    "RecordError",
+    "UnknownJobError",
+    "decode_record",
+    "encode_record",
+]
