--- a/magnoliaglade/store/_ownership.py
+++ b/magnoliaglade/store/_ownership.py
@@ -87,6 +87,20 @@
             return None
         return InstanceId(msgpack.unpackb(entry.value)["instance"])
 
+    async def owners(self, prefix: str) -> dict[str, InstanceId]:
+        """Returns the owners of all domains that begin with `prefix`.
+
+        Raises:
+            StoreError: the store did not answer.
+        """
+        entries, _ = await self.store.list_prefix(_owner_key(prefix))
+        return {
+            e.key.removeprefix(_owner_key("")): InstanceId(
+                msgpack.unpackb(e.value)["instance"]
+            )
+            for e in entries
+        }
+
     async def _create_owner_key(self, domain: str, lease: LeaseId) -> bool:
         key = _owner_key(domain)
         value = msgpack.packb({"instance": self.instance})
--- a/magnoliaglade/store/tests/test_store.py
+++ b/magnoliaglade/store/tests/test_store.py
@@ -176,6 +176,7 @@
         taken = await second.acquire("jobs.z")
         assert taken.epoch > owned.epoch
         assert await second.owner_of("jobs.z") == "b"
+        assert await first.owners("jobs.") == {"jobs.z": "b"}
         for lease in leases:
             await lease.stop()
 
