--- a/magnoliaglade/membership/_registry.py
+++ b/magnoliaglade/membership/_registry.py
@@ -8,25 +8,52 @@
 
 import msgpack
 
-from magnoliaglade import base
+from magnoliaglade import base, peers
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import store as store_lib
 from magnoliaglade.membership import _view
 from magnoliaglade.types import InstanceId, LeaseId, ZoneId
 
 MEMBERS_PREFIX = "members/"
-# A watch is ended and followed by a read after this time, so that a watch that
-# has gone silent hides a change no longer than that.
-WATCH_WAIT_S = 10.0
+# A watch without an event confirms the view, so two of them fit into the
+# largest age of a confirmation, 3 s.
+WATCH_WAIT_S = 1.0
 RETRY_S = 0.5
+REQUEST_TIMEOUT_S = 0.5
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ViewRequest(peers.Message):
+    """Asks a peer to confirm the version of the sender's view."""
+
+    version: int
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ViewReply(peers.Message):
+    """A peer's view.
+
+    Attributes:
+        version: version of the peer's view.
+        age_s: time since the store confirmed it to the peer; negative if the
+            peer does not reach the store.
+        members: fields of the members if the version differs.
+    """
+
+    version: int
+    age_s: float
+    members: tuple[Any, ...] = ()
 
 
 class MemberRegistry(base.Component):
     """Keeps the own registration and follows everyone's.
 
-    Without the store the last view stays. An instance that restarts registers
-    with a new incarnation; one that was paused beyond its lease registers
-    again under its new lease.
+    An instance that restarts registers with a new incarnation; one that was
+    paused beyond its lease registers again under its new lease. Without the
+    store the last view stays, and it counts as confirmed by a peer that
+    reaches the store or by a majority of the view that does not.
     """
 
     _parameter_constraints = {
@@ -40,15 +67,18 @@
         clock: clock_lib.Clock,
         lease: store_lib.InstanceLease,
         member: _view.Member,
+        network: peers.PeerNetwork,
         watch_wait_s: float = WATCH_WAIT_S,
     ) -> None:
         self.store = store
         self.clock = clock
         self.lease = lease
         self.member = member
+        self.network = network
         self.watch_wait_s = watch_wait_s
         self._view = _view.View()
-        self._read_s = float("-inf")
+        self._store_confirmed_s = float("-inf")
+        self._confirmed_s = float("-inf")
         self._registered_under: LeaseId | None = None
         self._listeners: list[Callable[[_view.View], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -60,8 +90,8 @@
 
     @property
     def view_age_s(self) -> float:
-        """Seconds since the view was read."""
-        return self.clock.now() - self._read_s
+        """Seconds since the view was confirmed."""
+        return self.clock.now() - self._confirmed_s
 
     def on_change(self, listener: Callable[[_view.View], None]) -> None:
         """Registers a callback for a changed view."""
@@ -70,6 +100,7 @@
     async def start(self) -> None:
         """Registers and reads the view once, then follows in background."""
         self.validate_params()
+        self.network.handle(ViewRequest, self._on_view_request)
         with contextlib.suppress(store_lib.StoreError):
             await self.register()
             await self.read()
@@ -107,8 +138,7 @@
         lease = self.lease.check()
         if lease == self._registered_under:
             return
-        value = msgpack.packb(dataclasses.asdict(self.member))
-        await self.store.put(self._key(), value, lease=lease)
+        await self.store.put(self._key(), _encode(self.member), lease=lease)
         self._registered_under = lease
 
     async def read(self) -> int:
@@ -119,14 +149,68 @@
         """
         sent_s = self.clock.now()
         entries, revision = await self.store.list_prefix(MEMBERS_PREFIX)
-        view = _view.make_view(_decode(e) for e in entries)
-        self._read_s = sent_s
-        if view != self._view:
-            self._view = view
-            for listener in self._listeners:
-                listener(view)
+        self._apply(_view.make_view(_decode(e.value) for e in entries))
+        self._confirm(sent_s, by_store=True)
         return revision
 
+    async def confirm_by_peers(self) -> None:
+        """Confirms the view, or learns a newer one, without the store."""
+        sent_s = self.clock.now()
+        request = ViewRequest(version=self._view.version)
+        others = set(self._view.instances) - {self.network.instance}
+        replies = await asyncio.gather(
+            *(self._ask(p, request) for p in sorted(others))
+        )
+        known = [r for r in replies if r is not None]
+        reached = [r for r in known if 0 <= r.age_s < self.watch_wait_s * 2]
+        if reached:
+            self._adopt(min(reached, key=lambda r: r.age_s), sent_s)
+            return
+        same = sum(r.version == self._view.version for r in known)
+        if same + 1 >= self._view.majority:
+            self._confirm(sent_s)
+
+    def _adopt(self, reply: ViewReply, sent_s: float) -> None:
+        if reply.version != self._view.version:
+            members = [_decode(m) for m in reply.members]
+            self._apply(_view.make_view(members))
+        self._confirm(sent_s - reply.age_s)
+
+    def _apply(self, view: _view.View) -> None:
+        if view == self._view:
+            return
+        self._view = view
+        for listener in self._listeners:
+            listener(view)
+
+    def _confirm(self, confirmed_s: float, *, by_store: bool = False) -> None:
+        self._confirmed_s = max(self._confirmed_s, confirmed_s)
+        if by_store:
+            self._store_confirmed_s = confirmed_s
+
+    async def _ask(
+        self, peer: InstanceId, request: ViewRequest
+    ) -> ViewReply | None:
+        try:
+            return await self.network.request(
+                peer, request, timeout_s=REQUEST_TIMEOUT_S
+            )
+        except peers.PeerError:
+            return None
+
+    async def _on_view_request(
+        self, sender: InstanceId, request: ViewRequest
+    ) -> ViewReply:
+        age_s = self.clock.now() - self._store_confirmed_s
+        if age_s > self.watch_wait_s * 2:
+            age_s = -1.0
+        members = ()
+        if request.version != self._view.version:
+            members = tuple(_encode(m) for m in self._view.members)
+        return ViewReply(
+            version=self._view.version, age_s=age_s, members=members
+        )
+
     async def _keep_registered(self) -> None:
         while True:
             with contextlib.suppress(store_lib.StoreError):
@@ -137,18 +221,35 @@
         while True:
             try:
                 revision = await self.read()
-                await self.store.watch(
-                    MEMBERS_PREFIX, after=revision, wait_s=self.watch_wait_s
-                )
-            except store_lib.StoreError:
+                while not await self._watch(revision):
+                    pass
+            except (store_lib.StoreError, TimeoutError):
+                await self.confirm_by_peers()
                 await self.clock.sleep(RETRY_S)
 
+    async def _watch(self, revision: int) -> bool:
+        """Returns whether a registration has changed after `revision`."""
+        sent_s = self.clock.now()
+        events = await self.clock.wait_for(
+            self.store.watch(
+                MEMBERS_PREFIX, after=revision, wait_s=self.watch_wait_s
+            ),
+            self.watch_wait_s + RETRY_S,
+        )
+        if not events:
+            self._confirm(sent_s, by_store=True)
+        return bool(events)
+
     def _key(self) -> str:
         return f"{MEMBERS_PREFIX}{self.member.instance}"
 
 
-def _decode(entry: store_lib.Entry) -> _view.Member:
-    fields = msgpack.unpackb(entry.value)
+def _encode(member: _view.Member) -> bytes:
+    return msgpack.packb(dataclasses.asdict(member))
+
+
+def _decode(value: bytes) -> _view.Member:
+    fields = msgpack.unpackb(value)
     return _view.Member(
         instance=InstanceId(fields["instance"]),
         incarnation=fields["incarnation"],
--- a/magnoliaglade/membership/tests/test_campaign.py
+++ b/magnoliaglade/membership/tests/test_campaign.py
@@ -36,6 +36,7 @@
             store=self.store,
             clock=clock,
             lease=self.lease,
+            network=self.network,
             member=membership.Member(
                 instance=InstanceId(name),
                 incarnation="1",
