--- /dev/null
+++ b/magnoliaglade/requests/_errors.py
@@ -0,0 +1,54 @@
+"""Errors of the request path."""
+
+from typing import Any
+
+from magnoliaglade import exceptions
+
+
+class RequestsError(exceptions.MagnoliagladeError):
+    """Base class of the request path's errors."""
+
+
+class NotSentError(RequestsError):
+    """The request has not run.
+
+    Attributes:
+        response: the upstream's own refusal, or None if no byte was written.
+    """
+
+    def __init__(self, reason: str, *, response: Any = None) -> None:
+        super().__init__(reason)
+        self.response = response
+
+
+class UpstreamRefusedError(NotSentError):
+    """The upstream did not accept a connection."""
+
+
+class OutcomeUnknownError(RequestsError):
+    """Bytes were written and no trustworthy response was received."""
+
+
+class NoProgressError(OutcomeUnknownError):
+    """No byte moved within the progress timeout or before the deadline.
+
+    Attributes:
+        probe_answered: whether a probe on another connection was answered
+            meanwhile, which tells a silent connection from a silent upstream.
+    """
+
+    def __init__(self, reason: str, *, probe_answered: bool = False) -> None:
+        super().__init__(reason)
+        self.probe_answered = probe_answered
+
+
+class NoSlotError(RequestsError):
+    """No slot of an upstream was available before the deadline."""
+
+
+class SlotLapsedError(RequestsError):
+    """The lease of a slot has lapsed; the slot must not be used."""
+
+
+class AdmissionRefusedError(RequestsError):
+    """The request was refused before dispatch, so it has not run."""
