Add connection pool with idle and progress probes

Cause: an open connection can go silent for ever while new ones work. Conclusion: a silent connection is told from a silent upstream by the probe.

--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -16,9 +16,11 @@
     SlotLapsedError,
     UpstreamRefusedError,
 )
+from magnoliaglade.requests._pool import ConnectionPool
 
 __all__ = [
     "AdmissionRefusedError",
+    "ConnectionPool",
     "NoProgressError",
     "NoSlotError",
     "NotSentError",
--- /dev/null
+++ b/magnoliaglade/requests/tests/test_pool.py
@@ -0,0 +1,142 @@
+"""Tests of the connection pool with silent, closed and busy connections."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import requests
+from magnoliaglade.types import RequestId, UpstreamId
+
+
+class Upstream:
+    """Answers every request, but for connections that are made silent."""
+
+    def __init__(self):
+        self.connections = 0
+        self.open = 0
+        self.most_open = 0
+        self.silent = set()
+        self.seen = []
+
+    async def serve(self, reader, writer):
+        number, self.connections = self.connections, self.connections + 1
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.seen.append((number, head))
+                if number in self.silent:
+                    continue
+                id_line = next(
+                    h for h in head.split(b"\r\n") if b"x-request-id" in h
+                )
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n"
+                    + id_line
+                    + b"\r\n\r\n"
+                )
+        self.open -= 1
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def running(**params):
+    clock, upstream = clock_lib.ManualClock(), Upstream()
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    pool = requests.ConnectionPool(
+        upstream=UpstreamId("u"),
+        host="127.0.0.1",
+        port=server.sockets[0].getsockname()[1],
+        clock=clock,
+        **params,
+    )
+    await pool.start()
+    yield clock, upstream, pool
+    server.close()
+    await pool.stop()
+    await until(lambda: upstream.open == 0)
+
+
+async def until(condition):
+    for _ in range(5000):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError("condition not reached")
+
+
+def make_request(clock, name="r", deadline_s=30.0):
+    return requests.UpstreamRequest(
+        request=RequestId(name),
+        method="GET",
+        target="/x",
+        deadline_s=clock.now() + deadline_s,
+    )
+
+
+class TestConnectionPool:
+    async def test_silent_connection_is_replaced(self):
+        """Guards against requests waiting on a connection gone silent."""
+        async with running() as (clock, upstream, pool):
+            await pool.exchange(make_request(clock))
+            upstream.silent = {0}
+            call = asyncio.ensure_future(pool.exchange(make_request(clock)))
+            await until(lambda: len(upstream.seen) == 2)
+            await clock.advance(2)
+            await until(lambda: pool.dump()["idle"] == 1)
+            await clock.advance(3)
+            with pytest.raises(requests.NoProgressError) as caught:
+                await call
+            assert caught.value.probe_answered
+            await pool.exchange(make_request(clock))
+            assert upstream.seen[-1][0] == 1
+
+    async def test_idle_connection_is_probed_before_use(self):
+        """Guards against writing a request to a connection gone silent."""
+        async with running() as (clock, upstream, pool):
+            await pool.exchange(make_request(clock))
+            upstream.silent = {0}
+            await clock.advance(5)
+            call = asyncio.ensure_future(
+                pool.exchange(make_request(clock, "again"))
+            )
+            await until(lambda: len(upstream.seen) == 2)
+            assert b"/healthz" in upstream.seen[1][1]
+            await clock.advance(1)
+            assert (await call).status == 200
+            on_silent = [h for n, h in upstream.seen if n == 0]
+            assert not any(b"again" in h for h in on_silent)
+
+    async def test_share_is_kept_and_waiting_ends_at_deadline(self):
+        """Guards against exceeding the share or waiting for ever."""
+        async with running(share=3) as (clock, upstream, pool):
+            upstream.silent = {0, 1}
+            calls = [
+                asyncio.ensure_future(pool.exchange(make_request(clock)))
+                for _ in range(2)
+            ]
+            await until(lambda: len(upstream.seen) == 2)
+            late = asyncio.ensure_future(
+                pool.exchange(make_request(clock, deadline_s=1.0))
+            )
+            await clock.advance(1)
+            with pytest.raises(requests.NotSentError):
+                await late
+            await clock.advance(1)
+            await until(lambda: len(upstream.seen) >= 4)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            assert pool.active == 0
+            await until(lambda: upstream.open == pool.dump()["idle"])
+            await pool.exchange(make_request(clock))
+            assert upstream.most_open <= 3
+
+    async def test_refused_connection_is_not_sent(self):
+        async with running() as (clock, _, pool):
+            pool.port = 1
+            with pytest.raises(requests.UpstreamRefusedError):
+                await pool.exchange(make_request(clock))
