Add balancers, outlier ejection and upstream directory

Cause: a slow, failing, silent or leaving upstream must not get new work, while the instance list lags. Change: power of two choices over outstanding load and latency with a zone preference that yields under load, baselines as plug-ins; ejection with probation up to a share of the upstreams; a directory in which an upstream is eligible only by a response to a request sent within 3 s. Conclusion: eligibility by fresh confirmation also covers a paused process.

--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -1,11 +1,20 @@
 """Request path: connections, balancing, ejection, slots and limits."""
 
+from magnoliaglade.requests._balancer import (
+    Balancer,
+    Candidate,
+    PowerOfTwoBalancer,
+    RandomBalancer,
+    RoundRobinBalancer,
+    UpstreamLoads,
+)
 from magnoliaglade.requests._connection import (
     UpstreamConnection,
     UpstreamRequest,
     UpstreamResponse,
     open_connection,
 )
+from magnoliaglade.requests._ejection import OutlierEjector, UpstreamHealth
 from magnoliaglade.requests._errors import (
     AdmissionRefusedError,
     NoProgressError,
@@ -17,17 +26,27 @@
     UpstreamRefusedError,
 )
 from magnoliaglade.requests._pool import ConnectionPool
+from magnoliaglade.requests._upstreams import UpstreamDirectory
 
 __all__ = [
     "AdmissionRefusedError",
+    "Balancer",
+    "Candidate",
     "ConnectionPool",
     "NoProgressError",
     "NoSlotError",
     "NotSentError",
     "OutcomeUnknownError",
+    "OutlierEjector",
+    "PowerOfTwoBalancer",
+    "RandomBalancer",
     "RequestsError",
+    "RoundRobinBalancer",
     "SlotLapsedError",
     "UpstreamConnection",
+    "UpstreamDirectory",
+    "UpstreamHealth",
+    "UpstreamLoads",
     "UpstreamRefusedError",
     "UpstreamRequest",
     "UpstreamResponse",
--- /dev/null
+++ b/magnoliaglade/requests/_upstreams.py
@@ -0,0 +1,203 @@
+"""Upstreams that may receive work: the instance list and own observations."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from magnoliaglade import base
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.requests import _connection, _errors
+from magnoliaglade.types import UpstreamId, ZoneId
+
+CONFIRMATION_MAX_AGE_S = 3.0
+# A poll and the timeout of its probes end within the confirmation bound, so
+# one upstream that does not answer does not age the others.
+POLL_S = 1.0
+POLL_TIMEOUT_S = 1.0
+# An announced stop that has not happened by then was withdrawn.
+LEAVING_HOLD_S = 600.0
+
+Prober = Callable[
+    [instance_list_lib.ListedInstance],
+    Awaitable[_connection.UpstreamResponse | None],
+]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Observed:
+    confirmed_s: float | None = None
+    refused_s: float | None = None
+    leaving_s: float | None = None
+
+
+class UpstreamDirectory(base.Component):
+    """Merges the lagging instance list with own observations.
+
+    An upstream is eligible only while a response without `x-leaving: true`
+    to a request sent at most `confirm_max_age_s` ago is known. Upstreams
+    without other requests are probed, so a leaving upstream gets no new work
+    after that time even if the list still shows it as live, and even if this
+    process was paused.
+    """
+
+    _parameter_constraints = {
+        "confirm_max_age_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "poll_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "poll_timeout_s": [base.Interval(kind=float, low=0, low_open=True)],
+    }
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        instance_list: instance_list_lib.InstanceList,
+        service: str,
+        prober: Prober,
+        confirm_max_age_s: float = CONFIRMATION_MAX_AGE_S,
+        poll_s: float = POLL_S,
+        poll_timeout_s: float = POLL_TIMEOUT_S,
+    ) -> None:
+        self.clock = clock
+        self.instance_list = instance_list
+        self.service = service
+        self.prober = prober
+        self.confirm_max_age_s = confirm_max_age_s
+        self.poll_s = poll_s
+        self.poll_timeout_s = poll_timeout_s
+        self._listed: dict[UpstreamId, instance_list_lib.ListedInstance] = {}
+        self._observed: dict[UpstreamId, _Observed] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Polls and probes once, then in the background."""
+        self.validate_params()
+        await self.poll_once()
+        await self._probe_all()
+        self._task = asyncio.create_task(self._poll_forever())
+
+    async def stop(self) -> None:
+        """Stops polling and probing."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the listed upstreams and whether they are eligible."""
+        return {u: self.is_eligible(u) for u in sorted(self._listed)}
+
+    def listed(self) -> list[instance_list_lib.ListedInstance]:
+        """Returns the upstreams of the service, in order of their ids."""
+        return [self._listed[u] for u in sorted(self._listed)]
+
+    def eligible(
+        self, *, zones: frozenset[ZoneId] | None = None
+    ) -> list[instance_list_lib.ListedInstance]:
+        """Returns the upstreams that may get new work, in `zones` if given."""
+        return [
+            listed
+            for listed in self.listed()
+            if self.is_eligible(UpstreamId(listed.instance))
+            and (zones is None or listed.zone in zones)
+        ]
+
+    def is_eligible(self, upstream: UpstreamId) -> bool:
+        """Tells whether an upstream may get new work now."""
+        listed = self._listed.get(upstream)
+        observed = self._observed.get(upstream)
+        if listed is None or observed is None:
+            return False
+        is_out = (observed.leaving_s, observed.refused_s) != (None, None)
+        if is_out or not _is_live(listed) or observed.confirmed_s is None:
+            return False
+        age_s = self.clock.now() - observed.confirmed_s
+        return age_s <= self.confirm_max_age_s
+
+    def observe(
+        self, upstream: UpstreamId, response: _connection.UpstreamResponse
+    ) -> None:
+        """Notes a complete response, also a refusal with `x-not-run`."""
+        observed = self._observed.setdefault(upstream, _Observed())
+        if response.leaving:
+            observed.leaving_s = self.clock.now()
+            return
+        sent_s = response.sent_s
+        if observed.confirmed_s is None or sent_s > observed.confirmed_s:
+            observed.confirmed_s = sent_s
+        if observed.refused_s is not None and sent_s > observed.refused_s:
+            observed.refused_s = None
+        if (
+            observed.leaving_s is not None
+            and sent_s > observed.leaving_s + LEAVING_HOLD_S
+        ):
+            observed.leaving_s = None
+
+    def observe_refused(self, upstream: UpstreamId) -> None:
+        """Notes a refused connection; a later response clears it."""
+        observed = self._observed.setdefault(upstream, _Observed())
+        observed.refused_s = self.clock.now()
+
+    async def poll_once(self) -> None:
+        """Reads the instance list; without an answer the last one stays."""
+        with contextlib.suppress(
+            instance_list_lib.InstanceListError, TimeoutError
+        ):
+            self._merge(
+                await self.clock.wait_for(
+                    self.instance_list.instances(), self.poll_timeout_s
+                )
+            )
+
+    async def _poll_forever(self) -> None:
+        while True:
+            await asyncio.gather(self.poll_once(), self._probe_all())
+            await self.clock.sleep(self.poll_s)
+
+    async def _probe_all(self) -> None:
+        await asyncio.gather(
+            *(self._probe(x) for x in self.listed() if self._is_due(x))
+        )
+
+    def _is_due(self, listed: instance_list_lib.ListedInstance) -> bool:
+        observed = self._observed.get(UpstreamId(listed.instance))
+        if not _is_live(listed):
+            return False
+        if observed is None or observed.confirmed_s is None:
+            return True
+        return self.clock.now() - observed.confirmed_s >= self.poll_s
+
+    async def _probe(self, listed: instance_list_lib.ListedInstance) -> None:
+        upstream = UpstreamId(listed.instance)
+        try:
+            response = await self.clock.wait_for(
+                self.prober(listed), self.poll_timeout_s
+            )
+        except _errors.UpstreamRefusedError:
+            self.observe_refused(upstream)
+            return
+        except (_errors.RequestsError, TimeoutError):
+            return
+        if response is not None and upstream in self._listed:
+            self.observe(upstream, response)
+
+    def _merge(self, instances: list[instance_list_lib.ListedInstance]) -> None:
+        role = instance_list_lib.InstanceRole.UPSTREAM
+        self._listed = {
+            UpstreamId(x.instance): x
+            for x in instances
+            if x.role is role and x.service == self.service
+        }
+        # Once the list agrees that an upstream has left, an instance that
+        # appears later under the same id is a new one.
+        self._observed = {
+            upstream: observed
+            for upstream, observed in self._observed.items()
+            if upstream in self._listed and _is_live(self._listed[upstream])
+        }
+
+
+def _is_live(listed: instance_list_lib.ListedInstance) -> bool:
+    return listed.state is instance_list_lib.InstanceState.LIVE
