Add slot leases with coordinator and holder

Cause: up to nine instances share eight slots of an executor, which fixed shares cannot divide. Change: SlotRequest, SlotReturn and SlotGrant; a coordinator by rendezvous hash that counts the larger of granted and reported slots, needs a confirmed view and waits after a view change unless it coordinated continuously; a holder that counts validity from before the request was sent. Conclusion: a coordinator that stays in place grants without a gap through a view change; a new one starts after 6 s.

--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -26,6 +26,14 @@
     UpstreamRefusedError,
 )
 from magnoliaglade.requests._pool import ConnectionPool
+from magnoliaglade.requests._slot_holder import HeldSlot, SlotHolder
+from magnoliaglade.requests._slots import (
+    SlotCoordinator,
+    SlotGrant,
+    SlotRequest,
+    SlotReturn,
+    coordinator_of,
+)
 from magnoliaglade.requests._upstreams import UpstreamDirectory
 
 __all__ = [
@@ -33,6 +41,7 @@
     "Balancer",
     "Candidate",
     "ConnectionPool",
+    "HeldSlot",
     "NoProgressError",
     "NoSlotError",
     "NotSentError",
@@ -42,7 +51,12 @@
     "RandomBalancer",
     "RequestsError",
     "RoundRobinBalancer",
+    "SlotCoordinator",
+    "SlotGrant",
+    "SlotHolder",
     "SlotLapsedError",
+    "SlotRequest",
+    "SlotReturn",
     "UpstreamConnection",
     "UpstreamDirectory",
     "UpstreamHealth",
@@ -50,5 +64,6 @@
     "UpstreamRefusedError",
     "UpstreamRequest",
     "UpstreamResponse",
+    "coordinator_of",
     "open_connection",
 ]
--- /dev/null
+++ b/magnoliaglade/requests/_slot_holder.py
@@ -0,0 +1,302 @@
+"""Slot leases: the side of an instance that uses slots."""
+
+import asyncio
+import collections
+import dataclasses
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from magnoliaglade import base, peers
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.requests import _errors, _slots
+from magnoliaglade.types import UpstreamId
+
+RENEW_S = 1.0
+# While requests wait for a slot; a freed slot is granted within this time.
+RETRY_S = 0.25
+REQUEST_TIMEOUT_S = 1.0
+# The holder stops before the coordinator can grant the slot to another.
+MARGIN_S = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Lease:
+    count: int = 0
+    valid_until_s: float = 0.0
+    generation: int = 0
+    in_use: int = 0
+    demand: int = 0
+    requested_s: float = 0.0
+    waiting: collections.deque[asyncio.Future[None]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+class HeldSlot:
+    """One slot of an upstream; release it when the request has ended."""
+
+    def __init__(
+        self, *, holder: "SlotHolder", upstream: UpstreamId, generation: int
+    ) -> None:
+        self.holder = holder
+        self.upstream = upstream
+        self.generation = generation
+        self._is_released = False
+
+    def check(self) -> None:
+        """Call this after the last await before the request is sent.
+
+        Raises:
+            SlotLapsedError: the lease lapsed since the slot was acquired.
+        """
+        is_valid = self.holder.is_valid(self.upstream, self.generation)
+        if self._is_released or not is_valid:
+            raise _errors.SlotLapsedError(f"slot of {self.upstream} lapsed")
+
+    def release(self) -> None:
+        """Makes the slot available; further calls have no effect."""
+        if not self._is_released:
+            self._is_released = True
+            self.holder.release(self.upstream)
+
+
+class SlotHolder(base.Component):
+    """Leases slots according to demand and hands them to requests.
+
+    A slot in use is reported until it is released, also after the lease has
+    lapsed. A slot that was acquired before a lapse cannot be used after it.
+    """
+
+    _parameter_constraints = {
+        "renew_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "retry_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "margin_s": [base.Interval(kind=float, low=0)],
+    }
+
+    def __init__(
+        self,
+        *,
+        network: peers.PeerNetwork,
+        clock: clock_lib.Clock,
+        view: _slots.ViewSource,
+        renew_s: float = RENEW_S,
+        retry_s: float = RETRY_S,
+        margin_s: float = MARGIN_S,
+    ) -> None:
+        self.network = network
+        self.clock = clock
+        self.view = view
+        self.renew_s = renew_s
+        self.retry_s = retry_s
+        self.margin_s = margin_s
+        self._leases: dict[UpstreamId, _Lease] = {}
+        self._calls: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._incarnation = uuid.uuid4().hex
+        self._sequence = 0
+        self._task: asyncio.Task[None] | None = None
+        self._listeners: list[Callable[[], None]] = []
+
+    async def start(self) -> None:
+        """Renews in the background."""
+        self.validate_params()
+        self._task = asyncio.create_task(self._renew_forever())
+
+    async def stop(self) -> None:
+        """Returns the unused slots and fails the waiting requests."""
+        tasks = [t for t in (self._task, *self._calls.values()) if t]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._task = None
+        for upstream, lease in self._leases.items():
+            for waiter in lease.waiting:
+                waiter.cancel()
+            lease.count, lease.valid_until_s = lease.in_use, 0.0
+            await self._return(upstream, lease)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns slots leased and in use per upstream."""
+        return {
+            u: {"leased": self.leased(u), "in_use": lease.in_use}
+            for u, lease in sorted(self._leases.items())
+        }
+
+    def leased(self, upstream: UpstreamId) -> int:
+        """Returns the number of slots under a valid lease."""
+        lease = self._leases.get(upstream)
+        if lease is None or self.clock.now() >= lease.valid_until_s:
+            return 0
+        return lease.count
+
+    def free(self, upstream: UpstreamId) -> int:
+        """Returns the number of slots that can be acquired now."""
+        lease = self._leases.get(upstream)
+        if lease is None:
+            return 0
+        return max(0, self.leased(upstream) - lease.in_use)
+
+    def is_valid(self, upstream: UpstreamId, generation: int) -> bool:
+        """Tells whether a lease has been valid since `generation` began."""
+        lease = self._leases.get(upstream)
+        if lease is None or lease.generation != generation:
+            return False
+        return self.clock.now() < lease.valid_until_s
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Registers a callback for granted or released slots."""
+        self._listeners.append(listener)
+
+    def set_demand(self, upstream: UpstreamId, count: int) -> None:
+        """Sets how many slots are wanted in all; 0 lets unused ones go."""
+        lease = self._leases.setdefault(upstream, _Lease())
+        grows = count > max(lease.demand, self.leased(upstream))
+        lease.demand = count
+        if grows:
+            self._call(upstream)
+
+    def try_acquire(self, upstream: UpstreamId) -> HeldSlot | None:
+        """Returns a free slot, or None."""
+        if self.free(upstream) == 0:
+            return None
+        lease = self._leases[upstream]
+        lease.in_use += 1
+        return HeldSlot(
+            holder=self, upstream=upstream, generation=lease.generation
+        )
+
+    async def acquire(
+        self, upstream: UpstreamId, *, deadline_s: float
+    ) -> HeldSlot:
+        """Waits for a slot until a time on the monotonic clock.
+
+        Raises:
+            NoSlotError: no slot was free before the deadline.
+        """
+        lease = self._leases.setdefault(upstream, _Lease())
+        while True:
+            slot = self.try_acquire(upstream)
+            if slot is not None:
+                return slot
+            waiter = asyncio.get_running_loop().create_future()
+            lease.waiting.append(waiter)
+            self._call(upstream)
+            remaining_s = deadline_s - self.clock.now()
+            try:
+                await self.clock.wait_for(waiter, remaining_s)
+            except TimeoutError as error:
+                raise _errors.NoSlotError(str(upstream)) from error
+            finally:
+                self._leave(upstream, waiter)
+
+    def release(self, upstream: UpstreamId) -> None:
+        """Ends the use of one slot; called by `HeldSlot.release`."""
+        self._leases[upstream].in_use -= 1
+        self._wake(upstream)
+
+    def _leave(
+        self, upstream: UpstreamId, waiter: asyncio.Future[None]
+    ) -> None:
+        lease = self._leases[upstream]
+        if waiter in lease.waiting:
+            lease.waiting.remove(waiter)
+        elif lease.waiting and self.free(upstream):
+            # The slot meant for a waiter that gave up goes to the next one.
+            self._wake(upstream)
+
+    def _wake(self, upstream: UpstreamId) -> None:
+        lease = self._leases[upstream]
+        for _ in range(min(self.free(upstream), len(lease.waiting))):
+            waiter = lease.waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+        for listener in self._listeners:
+            listener()
+
+    async def _renew_forever(self) -> None:
+        while True:
+            await self.clock.sleep(self.retry_s)
+            for upstream, lease in self._leases.items():
+                is_short = self._wanted(lease) > self.leased(upstream)
+                every_s = self.retry_s if is_short else self.renew_s
+                if self.clock.now() - lease.requested_s >= every_s:
+                    self._call(upstream)
+
+    def _call(self, upstream: UpstreamId) -> None:
+        """Starts a call unless one is in flight for the upstream."""
+        running = self._calls.get(upstream)
+        if running is None or running.done():
+            self._calls[upstream] = asyncio.create_task(self._renew(upstream))
+
+    def _wanted(self, lease: _Lease) -> int:
+        return max(lease.demand, lease.in_use + len(lease.waiting))
+
+    async def _renew(self, upstream: UpstreamId) -> None:
+        lease = self._leases[upstream]
+        lease.requested_s = sent_s = self.clock.now()
+        had = max(lease.in_use, self.leased(upstream))
+        wanted = self._wanted(lease)
+        if wanted == had == 0:
+            return
+        # Slots that are not wanted are given up before the report, so the
+        # coordinator can grant them at once.
+        lease.count = min(lease.count, wanted)
+        if wanted == 0:
+            await self._return(upstream, lease)
+            return
+        grant = await self._request(upstream, lease, wanted)
+        if grant is None or grant.for_s <= 0:
+            return
+        if self.clock.now() >= lease.valid_until_s:
+            lease.generation += 1
+        if grant.count < lease.count:
+            # The coordinator frees the difference with the next report.
+            lease.requested_s = 0.0
+        lease.count = grant.count
+        lease.valid_until_s = sent_s + grant.for_s - self.margin_s
+        self._wake(upstream)
+
+    async def _request(
+        self, upstream: UpstreamId, lease: _Lease, wanted: int
+    ) -> _slots.SlotGrant | None:
+        view = self.view()
+        coordinator = _slots.coordinator_of(upstream, view)
+        if coordinator is None:
+            return None
+        message = _slots.SlotRequest(
+            upstream=upstream,
+            count=wanted,
+            view=view.version,
+            held=max(lease.in_use, self.leased(upstream)),
+            incarnation=self._incarnation,
+            sequence=self._next_sequence(),
+        )
+        try:
+            return await self.network.request(
+                coordinator, message, timeout_s=REQUEST_TIMEOUT_S
+            )
+        except peers.PeerError:
+            return None
+
+    async def _return(self, upstream: UpstreamId, lease: _Lease) -> None:
+        view = self.view()
+        coordinator = _slots.coordinator_of(upstream, view)
+        if coordinator is None:
+            return
+        message = _slots.SlotReturn(
+            upstream=upstream,
+            count=lease.count,
+            view=view.version,
+            incarnation=self._incarnation,
+            sequence=self._next_sequence(),
+        )
+        try:
+            await self.network.request(
+                coordinator, message, timeout_s=REQUEST_TIMEOUT_S
+            )
+        except peers.PeerError:
+            return  # The slots become free when their lease expires.
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
--- /dev/null
+++ b/magnoliaglade/requests/tests/test_slots.py
@@ -0,0 +1,255 @@
+"""Tests of slot leases through deaths, view changes, delays and losses."""
+
+import asyncio
+import random
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import membership, peers, requests
+from magnoliaglade.types import InstanceId, UpstreamId, ZoneId
+
+U = UpstreamId("u")
+SLOTS = 8
+NAMES = ("a", "b", "c")
+
+
+class SlowPeers(peers.LocalPeers):
+    """Delivers some messages and replies late, after the sender's timeout."""
+
+    def __init__(self, *, hub, instance, rng):
+        super().__init__(hub=hub, instance=instance)
+        self.rng = rng
+        self.delays = (0.0,)
+
+    async def receive(self, sender, value):
+        return await asyncio.shield(
+            asyncio.ensure_future(self._delayed(sender, value))
+        )
+
+    async def _delayed(self, sender, value):
+        await self.hub.clock.sleep(self.rng.choice(self.delays))
+        reply = await super().receive(sender, value)
+        await self.hub.clock.sleep(self.rng.choice(self.delays))
+        return reply
+
+
+class Instance:
+    """Holder and coordinator with a view that may lag behind."""
+
+    def __init__(self, cluster, name):
+        self.cluster = cluster
+        self.name = InstanceId(name)
+        self.view = cluster.view
+        self.confirmed_s = cluster.clock.now()
+        self.peers = SlowPeers(
+            hub=cluster.hub, instance=self.name, rng=cluster.rng
+        )
+        self.coordinator = requests.SlotCoordinator(
+            network=self.peers,
+            clock=cluster.clock,
+            view=lambda: self.view,
+            view_age_s=lambda: cluster.clock.now() - self.confirmed_s,
+            slots=lambda: {U: SLOTS},
+        )
+        self.holder = requests.SlotHolder(
+            network=self.peers, clock=cluster.clock, view=lambda: self.view
+        )
+
+    async def start(self):
+        await self.coordinator.start()
+        await self.holder.start()
+
+    def confirm(self):
+        self.view = self.cluster.view
+        self.confirmed_s = self.cluster.clock.now()
+
+
+class Cluster:
+    def __init__(self, seed=0, names=NAMES):
+        self.clock = clock_lib.ManualClock()
+        self.hub = peers.LocalHub(clock=self.clock)
+        self.rng = random.Random(seed)
+        self.view = membership.View()
+        self.set_view(names)
+        self.all = {n: Instance(self, n) for n in names}
+
+    def set_view(self, names):
+        self.view = membership.View(
+            version=self.view.version + 1,
+            members=tuple(
+                membership.Member(
+                    instance=InstanceId(n),
+                    incarnation="",
+                    zone=ZoneId("z"),
+                    peer_address="",
+                    http_address="",
+                )
+                for n in names
+            ),
+        )
+
+    async def run(self, duration_s, *, lagging=()):
+        """Advances in steps and returns the largest sum of leased slots."""
+        most = 0
+        for _ in range(int(duration_s / 0.25)):
+            for name, instance in self.all.items():
+                if name not in lagging:
+                    instance.confirm()
+            await self.clock.advance(0.25)
+            most = max(most, self.leased())
+        return most
+
+    def leased(self):
+        return sum(i.holder.leased(U) for i in self.all.values())
+
+    async def start(self):
+        for instance in self.all.values():
+            await instance.start()
+            instance.holder.set_demand(U, SLOTS)
+
+    async def stop(self):
+        for instance in self.all.values():
+            await instance.holder.stop()
+            await instance.coordinator.stop()
+
+
+class TestSlotLeases:
+    @pytest.mark.parametrize("seed", range(12))
+    async def test_sum_never_exceeds_slots(self, seed):
+        """Guards against more slots in use than an upstream has."""
+        cluster = Cluster(seed)
+        rng = cluster.rng
+        await cluster.start()
+        for _ in range(25):
+            cluster.hub.heal()
+            cluster.hub.lost_replies = rng.choice((0, 0, 1, 3))
+            cluster.set_view(rng.sample(NAMES, rng.choice((2, 3, 3))))
+            if rng.random() < 0.5:
+                cluster.hub.cut(*map(InstanceId, rng.sample(NAMES, 2)))
+            for instance in cluster.all.values():
+                instance.peers.delays = rng.choice(((0.0,), (0.0, 0.3, 2.5)))
+                instance.holder.set_demand(U, rng.choice((0, 3, SLOTS)))
+            lagging = rng.sample(NAMES, rng.choice((0, 1, 2)))
+            duration_s = rng.choice((0.5, 2, 4, 9))
+            most = await cluster.run(duration_s, lagging=lagging)
+            assert most <= SLOTS
+        cluster.hub.heal()
+        cluster.set_view(NAMES)
+        for instance in cluster.all.values():
+            instance.peers.delays = (0.0,)
+            instance.holder.set_demand(U, SLOTS)
+        assert await cluster.run(12) == SLOTS
+        await cluster.stop()
+
+    async def test_same_coordinator_keeps_granting_in_a_new_view(self):
+        """Guards against all requests stopping at every view change."""
+        cluster = Cluster()
+        await cluster.start()
+        await cluster.run(8)
+        first = requests.coordinator_of(U, cluster.view)
+        cluster.set_view([first, next(n for n in NAMES if n != first)])
+        for _ in range(16):
+            await cluster.run(0.25)
+            assert cluster.leased() > 0
+        await cluster.stop()
+
+    async def test_new_coordinator_waits_for_old_grants(self):
+        cluster = Cluster()
+        await cluster.start()
+        await cluster.run(8)
+        dead = requests.coordinator_of(U, cluster.view)
+        held = cluster.all[dead].holder.leased(U)
+        assert held > 0
+        cluster.hub.remove(dead)
+        cluster.set_view([n for n in NAMES if n != dead])
+        await cluster.run(5.5, lagging=(dead,))
+        assert cluster.leased() == 0
+        assert await cluster.run(2, lagging=(dead,)) == SLOTS
+        await cluster.stop()
+
+    async def test_demand_is_shared_and_unused_slots_move(self):
+        cluster = Cluster()
+        await cluster.start()
+        await cluster.run(10)
+        shares = sorted(i.holder.leased(U) for i in cluster.all.values())
+        assert shares == [2, 3, 3]
+        for name in NAMES[1:]:
+            cluster.all[name].holder.set_demand(U, 0)
+        await cluster.run(3)
+        assert cluster.all["a"].holder.leased(U) == SLOTS
+        await cluster.stop()
+
+    async def test_slot_from_before_a_lapse_cannot_be_used(self):
+        """Guards against a paused holder using a slot granted to another."""
+        cluster = Cluster()
+        await cluster.start()
+        await cluster.run(8)
+        holder = cluster.all["a"].holder
+        slot = holder.try_acquire(U)
+        slot.check()
+        for other in NAMES[1:]:
+            cluster.hub.cut(InstanceId("a"), InstanceId(other))
+        cluster.all["a"].view = membership.View()
+        await cluster.run(3, lagging=("a",))
+        cluster.hub.heal()
+        await cluster.run(3)
+        assert holder.leased(U) > 0
+        with pytest.raises(requests.SlotLapsedError):
+            slot.check()
+        slot.release()
+        await cluster.stop()
+
+    async def test_waiter_gets_a_released_slot_or_its_deadline(self):
+        cluster = Cluster(names=("a",))
+        await cluster.start()
+        await cluster.run(8)
+        holder = cluster.all["a"].holder
+        slots = [holder.try_acquire(U) for _ in range(SLOTS)]
+        first, second = (
+            asyncio.ensure_future(
+                holder.acquire(U, deadline_s=cluster.clock.now() + 2)
+            )
+            for _ in range(2)
+        )
+        await cluster.run(1)
+        slots[0].release()
+        await cluster.run(0.25)
+        (await first).check()
+        await cluster.run(1)
+        with pytest.raises(requests.NoSlotError):
+            await second
+        await cluster.stop()
+
+    async def test_overtaken_message_frees_nothing(self):
+        """Guards against a delayed report that lowers the slots counted."""
+        cluster = Cluster(names=("a", "b"))
+        await cluster.start()
+        for name in ("a", "b"):
+            cluster.all[name].holder.set_demand(U, 0)
+        await cluster.run(10)
+        first = requests.coordinator_of(U, cluster.view)
+        granted = []
+        for sender, count, sequence in (("a", 8, 2), ("a", 0, 1), ("b", 8, 1)):
+            message = requests.SlotRequest(
+                upstream=U,
+                count=count,
+                view=cluster.view.version,
+                held=0,
+                incarnation="i",
+                sequence=sequence,
+            )
+            network = cluster.all[sender].peers
+            reply = await network.request(first, message, timeout_s=1.0)
+            granted.append(reply.count)
+        assert granted == [8, 0, 0]
+        await cluster.stop()
+
+    async def test_unconfirmed_view_grants_nothing(self):
+        """Guards against a cut-off coordinator granting after its successor."""
+        cluster = Cluster()
+        await cluster.start()
+        await cluster.run(8)
+        await cluster.run(6, lagging=NAMES)
+        assert cluster.leased() == 0
+        await cluster.stop()
