Add dispatch of requests to upstreams

Cause: the gateway needs one call that finds a slot, an upstream and a connection. Change: dispatcher over directory, ejector, balancer, slot leases and pools; slot and zone are checked after the last await before the first byte. Conclusion: a lapsed slot is a request that was not sent.

--- /dev/null
+++ b/magnoliaglade/requests/_dispatch.py
@@ -0,0 +1,328 @@
+"""Sends requests to the upstreams of all services.
+
+For each attempt: the eligible upstreams in the allowed zones, a slot on one of
+them chosen by the balancer, and one exchange over its connection pool. The
+result feeds the directory, the ejector and the load estimates.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import math
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from magnoliaglade import base as root_base
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import kernel, upstreams
+from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.requests import _errors, base
+from magnoliaglade.types import UpstreamId, ZoneId
+
+# A failed probe of an upstream counts like a failed request only from this
+# status on; a refusal for lack of slots is not a fault of the upstream.
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceParts:
+    """What is kept for one service."""
+
+    directory: upstreams.UpstreamDirectory
+    ejector: upstreams.OutlierEjector
+    loads: upstreams.UpstreamLoads
+    balancer: upstreams.Balancer
+
+
+class UpstreamDispatcher(root_base.Component):
+    """See `requests.Dispatcher`.
+
+    Attributes:
+        zones: returns the zones in which work may start now.
+        services: returns the names of the configured services.
+        connection_share: returns this instance's connections per upstream.
+        slots: returns the slots per upstream of a service.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        instance_list: instance_list_lib.InstanceList,
+        holder: upstreams.SlotHolder,
+        zone: ZoneId,
+        zones: Callable[[], frozenset[ZoneId]],
+        services: Callable[[], frozenset[str]],
+        connection_share: Callable[[str], int],
+        slots: Callable[[str], int],
+        seed: int,
+        balancer: str = "power-of-two",
+    ) -> None:
+        self.clock = clock
+        self.instance_list = instance_list
+        self.holder = holder
+        self.zone = zone
+        self.zones = zones
+        self.services = services
+        self.connection_share = connection_share
+        self.slots = slots
+        self.seed = seed
+        self.balancer = balancer
+        self._parts: dict[str, ServiceParts] = {}
+        self._pools: dict[UpstreamId, upstreams.ConnectionPool] = {}
+        self._wanted: dict[str, int] = {}
+        self._changed = asyncio.Event()
+        self._rng = random.Random(seed)
+
+    async def start(self) -> None:
+        """Follows the slots; services are added when they are configured."""
+        self.validate_params()
+        self.holder.on_change(self._on_change)
+        await self.update_services()
+
+    async def stop(self) -> None:
+        """Waits for requests in flight, then closes all connections."""
+        await asyncio.gather(*(p.stop() for p in self._pools.values()))
+        await asyncio.gather(
+            *(p.directory.stop() for p in self._parts.values())
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Returns eligibility, ejections and connections by upstream."""
+        return {
+            "upstreams": self.describe(),
+            "pools": {u: p.dump() for u, p in sorted(self._pools.items())},
+        }
+
+    async def update_services(self) -> None:
+        """Starts and stops directories so that they match the services."""
+        wanted = self.services()
+        for name in set(self._parts) - wanted:
+            await self._parts.pop(name).directory.stop()
+        for name in sorted(wanted - set(self._parts)):
+            parts = self._make_parts(name)
+            self._parts[name] = parts
+            await parts.directory.start()
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Returns one row per listed upstream."""
+        return [
+            {
+                "upstream": listed.instance,
+                "service": name,
+                "zone": listed.zone,
+                "state": self._state(parts, UpstreamId(listed.instance)),
+                "outstanding": self._outstanding(parts, listed),
+            }
+            for name, parts in sorted(self._parts.items())
+            for listed in parts.directory.listed()
+        ]
+
+    def slots_by_upstream(self) -> dict[UpstreamId, int]:
+        """Returns the slots of every listed upstream."""
+        return {
+            UpstreamId(listed.instance): self.slots(name)
+            for name, parts in self._parts.items()
+            for listed in parts.directory.listed()
+        }
+
+    async def dispatch(
+        self, request: base.UpstreamRequest
+    ) -> base.UpstreamResponse:
+        """See `requests.Dispatcher.dispatch`."""
+        parts = self._parts.get(request.service)
+        if parts is None:
+            raise _errors.NotSentError(f"no upstreams of {request.service}")
+        with self._demand(request.service, parts):
+            slot = await self._acquire_slot(parts, request.deadline_s)
+        try:
+            return await self._exchange(parts, slot, request)
+        except upstreams.NotSentError as error:
+            raise _errors.NotSentError(str(error)) from error
+        except upstreams.OutcomeUnknownError as error:
+            raise _errors.OutcomeUnknownError(str(error)) from error
+        finally:
+            slot.release()
+
+    def _make_parts(self, service: str) -> ServiceParts:
+        return ServiceParts(
+            directory=upstreams.UpstreamDirectory(
+                clock=self.clock,
+                instance_list=self.instance_list,
+                service=service,
+                prober=lambda listed: self._pool(service, listed).probe(),
+            ),
+            ejector=upstreams.OutlierEjector(clock=self.clock),
+            loads=upstreams.UpstreamLoads(clock=self.clock),
+            balancer=kernel.create(
+                "balancer", self.balancer, rng=self._rng, zone=self.zone
+            ),
+        )
+
+    def _pool(
+        self, service: str, listed: instance_list_lib.ListedInstance
+    ) -> upstreams.ConnectionPool:
+        upstream = UpstreamId(listed.instance)
+        host, _, port = listed.address.rpartition(":")
+        pool = self._pools.get(upstream)
+        if pool is not None and (pool.host, pool.port) == (host, int(port)):
+            return pool
+        pool = upstreams.ConnectionPool(
+            upstream=upstream,
+            host=host,
+            port=int(port),
+            clock=self.clock,
+            share=self.connection_share(service),
+        )
+        self._pools[upstream] = pool
+        return pool
+
+    def _usable(
+        self, parts: ServiceParts
+    ) -> list[instance_list_lib.ListedInstance]:
+        listed = parts.directory.listed()
+        parts.ejector.set_upstreams(UpstreamId(x.instance) for x in listed)
+        allowed = parts.directory.eligible(zones=self.zones())
+        healthy = set(
+            parts.ejector.eligible(UpstreamId(x.instance) for x in allowed)
+        )
+        return [x for x in allowed if x.instance in healthy]
+
+    @contextlib.contextmanager
+    def _demand(self, service: str, parts: ServiceParts) -> Iterator[None]:
+        """Counts a waiting request towards the demand for slots."""
+        self._wanted[service] = self._wanted.get(service, 0) + 1
+        self._spread_demand(service, parts)
+        try:
+            yield
+        finally:
+            self._wanted[service] -= 1
+            self._spread_demand(service, parts)
+
+    def _spread_demand(self, service: str, parts: ServiceParts) -> None:
+        """Asks for as many slots as requests, spread over the upstreams."""
+        usable = {UpstreamId(x.instance) for x in self._usable(parts)}
+        in_use = {u: self._in_use(parts, u) for u in usable}
+        total = self._wanted[service] + sum(in_use.values())
+        each = math.ceil(total / len(usable)) if usable else 0
+        for listed in parts.directory.listed():
+            upstream = UpstreamId(listed.instance)
+            demand = 0
+            if upstream in usable:
+                demand = min(max(each, in_use[upstream]), self.slots(service))
+            self.holder.set_demand(upstream, demand)
+
+    async def _acquire_slot(
+        self, parts: ServiceParts, deadline_s: float
+    ) -> upstreams.HeldSlot:
+        while True:
+            self._changed.clear()
+            slot = self._try_slot(parts)
+            if slot is not None:
+                return slot
+            remaining_s = deadline_s - self.clock.now()
+            if remaining_s <= 0:
+                raise _errors.NotSentError("no slot before the deadline")
+            with contextlib.suppress(TimeoutError):
+                # Eligibility changes without a sign, so it is looked at again.
+                await self.clock.wait_for(
+                    self._changed.wait(), min(remaining_s, 0.25)
+                )
+
+    def _try_slot(self, parts: ServiceParts) -> upstreams.HeldSlot | None:
+        pairs = [
+            (UpstreamId(x.instance), x.zone)
+            for x in self._usable(parts)
+            if self.holder.free(UpstreamId(x.instance)) > 0
+        ]
+        if not pairs:
+            return None
+        chosen = parts.balancer.choose(parts.loads.candidates(pairs))
+        return self.holder.try_acquire(chosen)
+
+    async def _exchange(
+        self,
+        parts: ServiceParts,
+        slot: upstreams.HeldSlot,
+        request: base.UpstreamRequest,
+    ) -> base.UpstreamResponse:
+        upstream = slot.upstream
+        listed = next(
+            x for x in parts.directory.listed() if x.instance == upstream
+        )
+        pool = self._pool(request.service, listed)
+        started_s = self.clock.now()
+        succeeded = False
+        parts.loads.begin(upstream)
+        parts.ejector.dispatched(upstream)
+        try:
+            response = await pool.exchange(self._wire(request, slot, listed))
+            parts.directory.observe(upstream, response)
+            succeeded = response.status < _SERVER_ERROR
+            return _answer(response)
+        except upstreams.UpstreamRefusedError:
+            parts.directory.observe_refused(upstream)
+            raise
+        except upstreams.NotSentError as error:
+            # The upstream answered, if only to refuse, or was never asked.
+            succeeded = True
+            if error.response is not None:
+                parts.directory.observe(upstream, error.response)
+            raise
+        finally:
+            latency_s = self.clock.now() - started_s
+            parts.loads.finish(
+                upstream, latency_s=latency_s, succeeded=succeeded
+            )
+            parts.ejector.observe(upstream, succeeded=succeeded)
+
+    def _wire(
+        self,
+        request: base.UpstreamRequest,
+        slot: upstreams.HeldSlot,
+        listed: instance_list_lib.ListedInstance,
+    ) -> upstreams.ExchangeRequest:
+        def check() -> None:
+            slot.check()
+            if listed.zone not in self.zones():
+                raise upstreams.NotSentError(f"zone {listed.zone} is removed")
+
+        return upstreams.ExchangeRequest(
+            request=request.request_id,
+            method="POST",
+            target=f"/v1/services/{request.service}/{request.kind}",
+            deadline_s=request.deadline_s,
+            headers=request.headers,
+            body=request.body,
+            progress_timeout_s=request.progress_timeout_s,
+            idempotent=request.idempotent,
+            before_send=check,
+        )
+
+    def _state(self, parts: ServiceParts, upstream: UpstreamId) -> str:
+        if not parts.directory.is_eligible(upstream):
+            return "not-eligible"
+        return parts.ejector.health(upstream).value
+
+    def _outstanding(
+        self, parts: ServiceParts, listed: instance_list_lib.ListedInstance
+    ) -> int:
+        return self._in_use(parts, UpstreamId(listed.instance))
+
+    def _in_use(self, parts: ServiceParts, upstream: UpstreamId) -> int:
+        (candidate,) = parts.loads.candidates([(upstream, self.zone)])
+        return candidate.outstanding
+
+    def _on_change(self) -> None:
+        self._changed.set()
+
+
+def _answer(response: upstreams.ExchangeResponse) -> base.UpstreamResponse:
+    return base.UpstreamResponse(
+        status=response.status,
+        headers=response.headers,
+        body=response.body,
+        request_id=response.request,
+        declared_bytes=len(response.body),
+    )
--- a/magnoliaglade/upstreams/_connection.py
+++ b/magnoliaglade/upstreams/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+from collections.abc import Callable
 
 import h11
 
@@ -52,6 +53,8 @@
         deadline_s: end of the exchange on the local monotonic clock.
         progress_timeout_s: longest time without a byte in either direction.
         idempotent: whether a second run is harmless.
+        before_send: called after the last await before the first byte is
+            written; an error it raises means that nothing was written.
     """
 
     request: RequestId
@@ -62,6 +65,7 @@
     body: bytes = b""
     progress_timeout_s: float = 5.0
     idempotent: bool = False
+    before_send: Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -156,6 +160,7 @@
         if sent_s >= request.deadline_s:
             raise _errors.NotSentError("deadline has passed")
         data = self._encode(request, request.deadline_s - sent_s)
+        request.before_send()
         self._last_progress_s = sent_s
         self.writer.write(data)
         try:
--- a/magnoliaglade/upstreams/_errors.py
+++ b/magnoliaglade/upstreams/_errors.py
@@ -42,9 +42,9 @@
         self.probe_answered = probe_answered
 
 
-class NoSlotError(UpstreamError):
+class NoSlotError(NotSentError):
     """No slot of an upstream was available before the deadline."""
 
 
-class SlotLapsedError(UpstreamError):
+class SlotLapsedError(NotSentError):
     """The lease of a slot has lapsed; the slot must not be used."""
