--- a/magnoliaglade/execution/__init__.py
+++ b/magnoliaglade/execution/__init__.py
@@ -9,6 +9,7 @@
     RecordError,
     UnknownJobError,
 )
+from magnoliaglade.execution._hooks import OwnerHooks
 from magnoliaglade.execution._launch import (
     GANG_CONFIRM_S,
     RESERVATION_TTL_S,
@@ -16,6 +17,7 @@
     LaunchOutcome,
     LaunchStep,
 )
+from magnoliaglade.execution._owner import DomainOwner
 from magnoliaglade.execution._records import (
     Accepted,
     FailureCause,
@@ -32,6 +34,7 @@
     "RESERVATION_TTL_S",
     "TASK_LEASE_TTL_S",
     "Accepted",
+    "DomainOwner",
     "ExecutionError",
     "FailureCause",
     "ForwardError",
@@ -44,6 +47,7 @@
     "NotOwnerError",
     "NotRunError",
     "OutcomeUnknownError",
+    "OwnerHooks",
     "RecordError",
     "UnknownJobError",
     "decode_record",
--- a/magnoliaglade/execution/_errors.py
+++ b/magnoliaglade/execution/_errors.py
@@ -23,7 +23,7 @@
     """The domain has no such job, or forgot it after it ended."""
 
 
-class NotOwnerError(ExecutionError):
+class NotOwnerError(NotRunError):
     """The instance no longer owns the domain, or does not own it yet."""
 
 
--- /dev/null
+++ b/magnoliaglade/execution/_hooks.py
@@ -0,0 +1,73 @@
+"""Callables that connect an owner to the components around it."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable, Mapping
+
+from magnoliaglade import configuration, scheduling
+from magnoliaglade.execution import (
+    _attempts,
+    _calls,
+    _errors,
+    _gangs,
+    _launch,
+    _moves,
+    _records,
+)
+from magnoliaglade.types import Epoch, JobId, WorkerId, ZoneId
+
+
+def _ignore(*_: object) -> None:
+    """Stands for a callable that is not set."""
+
+
+async def _cannot_forward(domain: str, _: _records.Accepted) -> None:
+    raise _errors.ForwardError(f"{domain}: no forward is set")
+
+
+async def _no_delegate(*_: object) -> None:
+    """Stands for a delegate that is not set."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OwnerHooks:
+    """What the owner asks of the components around it.
+
+    Attributes:
+        decide: the scheduling decision.
+        workers: the listed workers of the domain by id, with their states.
+        client: client of a worker; raises `WorkerUnreachableError` for one
+            that is not listed.
+        startable_zones: zones in service that were confirmed freshly.
+        may_act_in_outage: whether a majority has granted permission while
+            the store is down.
+        refine: adds guarantees, quotas, weights and estimates to a snapshot.
+        on_outcome: told worker, job and success of each task; quarantine.
+        zone_policy: what happens to running tasks of the removed zone; None
+            while it is in service.
+        choose_domain: domain that a job moves to.
+        forward: hands a job to another domain, see `Moves`.
+        on_renewed: awaited after each renewal round with epoch and gangs; for
+            the renewal delegate.
+        on_lost: told once when another owner has taken over.
+        on_step: awaited before each step of a launch, or None.
+    """
+
+    decide: Callable[[scheduling.ClusterSnapshot], scheduling.Plan]
+    workers: Callable[[], Mapping[WorkerId, scheduling.Worker]]
+    client: _calls.Client
+    startable_zones: Callable[[], frozenset[ZoneId]]
+    may_act_in_outage: Callable[[], bool] = lambda: False
+    refine: Callable[
+        [scheduling.ClusterSnapshot], scheduling.ClusterSnapshot
+    ] = lambda snapshot: snapshot
+    on_outcome: _attempts.Outcome = _ignore
+    zone_policy: Callable[[], configuration.ZonePolicy | None] = lambda: None
+    choose_domain: _moves.ChooseDomain = lambda _: None
+    forward: _moves.Forward = _cannot_forward
+    on_renewed: Callable[[Epoch, list[_gangs.ActiveGang]], Awaitable[None]] = (
+        _no_delegate
+    )
+    on_lost: Callable[[], None] = _ignore
+    on_step: Callable[[_launch.LaunchStep, JobId], Awaitable[None]] | None = (
+        None
+    )
--- a/magnoliaglade/execution/tests/harness.py
+++ b/magnoliaglade/execution/tests/harness.py
@@ -212,6 +212,34 @@
                 await self.cluster.clock.advance(0.5)
         return owned
 
+    async def own(self, **hooks):
+        """Acquires the domain and starts an owner."""
+        owned = await self.acquire()
+        self.owner = execution.DomainOwner(
+            zone=ZONE,
+            instance=self.name,
+            store=self.store,
+            clock=self.cluster.clock,
+            ownership=self.ownership,
+            owned=owned,
+            hooks=execution.OwnerHooks(
+                **{
+                    "decide": greedy,
+                    "workers": self.cluster.listed,
+                    "client": self.links.__getitem__,
+                    "startable_zones": lambda: self.startable,
+                    "may_act_in_outage": lambda: self.has_grants,
+                    "on_outcome": lambda *x: self.outcomes.append(x),
+                    **hooks,
+                }
+            ),
+        )
+        await self.owner.start()
+        return self.owner
+
+    def phase(self, job):
+        return self.owner.status(job).phase
+
     def kill(self):
         """Cuts the process off from everything, as its end does."""
         self.fuse.is_blown = True
