Add configuration agents, zone intents, gate and confirmations

Cause: every entry instance must hold the current revision within seconds, and no task may start in a zone 3 s after its removal, with or without the store. Change: three readers read and watch the store, the others ask a reader and fall back to all peers and an own read; ages are counted from before a request, so a delayed message makes nothing look fresh; a majority confirms only when nobody reached reaches the store. A store that went back, also one that rose past the known revision since, is refused and reported. Intents take effect at once and are stored by their writer or, when it is gone, by another holder.

--- a/magnoliaglade/configuration/__init__.py
+++ b/magnoliaglade/configuration/__init__.py
@@ -1,5 +1,10 @@
 """Configuration: schema, generation, revisions, zones and distribution."""
 
+from magnoliaglade.configuration._agent import (
+    READERS,
+    AgentState,
+    ConfigurationAgent,
+)
 from magnoliaglade.configuration._check import (
     Problem,
     RackCapacity,
@@ -24,6 +29,14 @@
     ConflictingChangeError,
     InvalidConfigurationError,
 )
+from magnoliaglade.configuration._intents import Intents
+from magnoliaglade.configuration._messages import (
+    ConfigRequest,
+    ConfigUpdate,
+    StoreState,
+    ZoneIntent,
+    ZoneIntentAck,
+)
 from magnoliaglade.configuration._questionnaire import (
     AccountAnswer,
     Answers,
@@ -49,24 +62,36 @@
 )
 from magnoliaglade.configuration._store import (
     ConfigurationStore,
-    PendingWrite,
-    Stored,
     with_zone_state,
 )
+from magnoliaglade.configuration._stored import PendingWrite, Stored
+from magnoliaglade.configuration._zones import (
+    CONFIRMATION_MAX_AGE_S,
+    ZoneControl,
+    ZoneGate,
+    ZoneReport,
+)
 
 __all__ = [
+    "CONFIRMATION_MAX_AGE_S",
+    "READERS",
     "AccountAnswer",
     "AccountConfig",
+    "AgentState",
     "Answers",
     "CellLevel",
     "Change",
+    "ConfigRequest",
+    "ConfigUpdate",
     "Configuration",
+    "ConfigurationAgent",
     "ConfigurationError",
     "ConfigurationStore",
     "ConfigurationUnavailableError",
     "ConfigurationUnknownError",
     "ConflictingChangeError",
     "Guarantee",
+    "Intents",
     "InvalidConfigurationError",
     "KindAnswer",
     "PendingWrite",
@@ -77,10 +102,16 @@
     "ServiceAnswer",
     "ServiceConfig",
     "Severity",
+    "StoreState",
     "Stored",
     "ZoneAnswer",
     "ZoneConfig",
+    "ZoneControl",
+    "ZoneGate",
+    "ZoneIntent",
+    "ZoneIntentAck",
     "ZonePolicy",
+    "ZoneReport",
     "ZoneState",
     "capacity_of",
     "check",
--- /dev/null
+++ b/magnoliaglade/configuration/_agent.py
@@ -0,0 +1,400 @@
+"""Keeps the configuration of one entry instance current and confirmed."""
+
+import asyncio
+import contextlib
+import enum
+import math
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eliot
+
+from magnoliaglade import base, membership, peers
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.configuration import (
+    _errors,
+    _intents,
+    _messages,
+    _reader,
+    _schema,
+    _store,
+    _stored,
+)
+from magnoliaglade.types import InstanceId
+
+# Subject under which revisions are confirmed.
+SUBJECT = "configuration"
+# Three readers leave one after a failure and a restart at the same time, and
+# their store calls do not grow with the number of instances.
+READERS = 3
+# Two refreshes fit into the largest age of a confirmation, 3 s.
+REFRESH_S = 1.0
+# A watch may be lost without a sign, so it is bounded and followed by a read.
+WATCH_WAIT_S = 10.0
+READ_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 0.5
+# A relayed confirmation that is older makes the instance read by itself.
+_RELAY_MAX_AGE_S = 2.0
+
+Listener = Callable[[_schema.Configuration], None]
+_StoreState = _messages.StoreState
+
+
+class AgentState(enum.Enum):
+    """Whether the agent has a configuration and accepts the store's."""
+
+    EMPTY = "empty"
+    IN_FORCE = "in-force"
+    STORE_REFUSED = "store-refused"
+
+
+class ConfigurationAgent(base.Component):
+    """Applies rising revisions and relays them to the other instances.
+
+    The readers read the store every `refresh_s` and watch it; the other
+    instances ask a reader. An instance whose source fails asks the others and
+    reads the store by itself, which also heals lost watches and partitions.
+    """
+
+    _parameter_constraints = {
+        name: [base.Interval(kind=float, low=0, low_open=True)]
+        for name in (
+            "refresh_s",
+            "watch_wait_s",
+            "read_timeout_s",
+            "request_timeout_s",
+        )
+    }
+
+    def __init__(
+        self,
+        *,
+        configurations: _store.ConfigurationStore,
+        network: peers.PeerNetwork,
+        clock: clock_lib.Clock,
+        view: Callable[[], membership.View],
+        confirmations: membership.Confirmations,
+        intents: _intents.Intents,
+        refresh_s: float = REFRESH_S,
+        watch_wait_s: float = WATCH_WAIT_S,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        request_timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> None:
+        self.configurations = configurations
+        self.network = network
+        self.clock = clock
+        self.view = view
+        self.confirmations = confirmations
+        self.intents = intents
+        self.refresh_s = refresh_s
+        self.watch_wait_s = watch_wait_s
+        self.read_timeout_s = read_timeout_s
+        self.request_timeout_s = request_timeout_s
+        self._stored: _stored.Stored | None = None
+        self._reader = _reader.StoreReader(
+            configurations=configurations, clock=clock, timeout_s=read_timeout_s
+        )
+        self._listeners: list[Listener] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._hint = asyncio.Event()
+        self._announced: dict[InstanceId, int] = {}
+
+    @property
+    def configuration(self) -> _schema.Configuration | None:
+        """The configuration in force, or None before the first one."""
+        return self._stored.configuration if self._stored else None
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 if there is none."""
+        return self._stored.configuration.revision if self._stored else 0
+
+    @property
+    def state(self) -> AgentState:
+        """State of the agent."""
+        if self._reader.fault is not None:
+            return AgentState.STORE_REFUSED
+        return AgentState.IN_FORCE if self._stored else AgentState.EMPTY
+
+    @property
+    def store_state(self) -> _messages.StoreState:
+        """Result of the latest own read of the store."""
+        return self._reader.state
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance reads the store on behalf of the others."""
+        readers = set(self._readers())
+        hears_none = not self.network.live_peers & readers
+        return self.network.instance in readers or hears_none
+
+    async def start(self) -> None:
+        """Asks the peers and the store once, then follows them."""
+        self.validate_params()
+        self.network.handle(_messages.ConfigRequest, self._on_request)
+        self.network.handle(_messages.ConfigUpdate, self._on_announcement)
+        # Peers first: a store that has gone back must not be believed.
+        await self._ask_all()
+        await self._read()
+        self._tasks = [
+            asyncio.create_task(loop())
+            for loop in (self._refresh_loop, self._watch_loop, self._hint_loop)
+        ]
+
+    async def stop(self) -> None:
+        """Ends the background tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+
+    def dump(self) -> dict[str, Any]:
+        """Returns revision, confirmation and faults."""
+        source = self.confirmations.source(SUBJECT)
+        return {
+            "state": self.state.value,
+            "fault": self._reader.fault,
+            "revision": self.revision,
+            "confirmation_age_s": self._age_s(),
+            "confirmation_source": source.value if source else None,
+            "store": self._reader.state.value,
+            "is_reader": self.is_reader,
+            "intents": [list(i.to_plain()) for i in self.intents.open],
+        }
+
+    def add_listener(self, listener: Listener) -> None:
+        """Calls `listener` with each new configuration in force."""
+        self._listeners.append(listener)
+
+    async def adopt(self, stored: _stored.Stored) -> None:
+        """Applies a configuration that was accepted through this instance.
+
+        A read confirms it first, since starts would wait for the next refresh
+        otherwise.
+        """
+        if not await self._read() and self._apply(stored):
+            await self._announce()
+
+    async def refresh(self) -> None:
+        """Confirms the revision in force, or learns of a newer one."""
+        if not self.is_reader and await self._ask_reader():
+            self._reader.forget()
+            return
+        is_reached = self._reader.state is _StoreState.REACHED
+        if self.is_reader and is_reached and not self.intents.open:
+            if not await self._read():
+                await self._ask_all()
+            return
+        # Open intents are compared with the peers', which may know of a
+        # withdrawal. Both at once: a silent store uses up its whole timeout.
+        await asyncio.gather(self._read(), self._ask_all())
+
+    async def _refresh_loop(self) -> None:
+        while True:
+            started_s = self.clock.now()
+            await self.refresh()
+            used_s = self.clock.now() - started_s
+            await self.clock.sleep(max(0.0, self.refresh_s - used_s))
+
+    async def _watch_loop(self) -> None:
+        while True:
+            is_reached = self.store_state is _StoreState.REACHED
+            if not (self.is_reader and is_reached):
+                await self.clock.sleep(self.refresh_s)
+                continue
+            try:
+                await self._reader.watch(wait_s=self.watch_wait_s)
+            except (_errors.ConfigurationError, TimeoutError):
+                await self.clock.sleep(self.refresh_s)
+            await self._read()
+
+    async def _hint_loop(self) -> None:
+        while True:
+            await self._hint.wait()
+            self._hint.clear()
+            announced, self._announced = self._announced, {}
+            for peer in sorted(announced, key=lambda p: (-announced[p], p)):
+                if announced[peer] > self.revision:
+                    await self._ask([peer])
+
+    def _readers(self) -> list[InstanceId]:
+        instances = self.view().instances
+        return membership.rendezvous_order(SUBJECT, instances)[:READERS]
+
+    async def _ask_reader(self) -> bool:
+        """Tells whether a reader that reaches the store has confirmed."""
+        live = self.network.live_peers & set(self._readers())
+        # The instances spread over the readers.
+        key = str(self.network.instance)
+        order = membership.rendezvous_order(key, live)
+        replies = await self._ask(order[:1])
+        states = {r.store_state for r in replies.values()}
+        is_reached = states == {_StoreState.REACHED.value}
+        return is_reached and self._age_s() <= _RELAY_MAX_AGE_S
+
+    async def _read(self) -> bool:
+        """Reads the store; tells whether it confirmed a revision."""
+        reading = await self._reader.read(self._stored)
+        if reading is None or reading.stored is None:
+            return False
+        revision = reading.stored.configuration.revision
+        is_new = self._apply(reading.stored)
+        self._confirm(revision, reading.age_s, membership.Source.STORE)
+        if is_new:
+            await self._announce()
+        return True
+
+    async def _announce(self) -> None:
+        with contextlib.suppress(peers.PeerError):
+            await self.network.broadcast(self._update())
+
+    def _apply(self, stored: _stored.Stored) -> bool:
+        if stored.configuration.revision <= self.revision:
+            return False
+        self._stored = stored
+        self.intents.settle_from(stored.configuration)
+        for listener in self._listeners:
+            try:
+                listener(stored.configuration)
+            # One listener's fault must not keep the others from the change.
+            except Exception:
+                eliot.write_traceback()
+        return True
+
+    def _take_intents(self, plain: Iterable[Any]) -> None:
+        self.intents.merge_plain(plain)
+        if self._stored is not None:
+            self.intents.settle_from(self._stored.configuration)
+
+    def _confirm(
+        self, revision: int, age_s: float, source: membership.Source
+    ) -> None:
+        self.confirmations.confirm(
+            SUBJECT, revision, age_s=age_s, source=source
+        )
+
+    def _age_s(self) -> float:
+        return self.confirmations.age_s(SUBJECT, self.revision)
+
+    async def _ask_all(self) -> None:
+        started_s = self.clock.now()
+        live = sorted(self.network.live_peers)
+        replies = await self._ask(live)
+        self._confirm_by_majority(replies, started_s)
+
+    async def _ask(
+        self, instances: Iterable[InstanceId]
+    ) -> dict[InstanceId, _messages.ConfigUpdate]:
+        """Asks instances at once; fetches the document from the newest."""
+        asked = list(instances)
+        wants = len(asked) == 1
+        replies = await self._exchange(asked, wants_document=wants)
+        newest = max(replies, key=lambda p: replies[p].revision, default=None)
+        if newest is None or replies[newest].revision <= self.revision:
+            return replies
+        return replies | await self._exchange([newest], wants_document=True)
+
+    async def _exchange(
+        self, instances: list[InstanceId], *, wants_document: bool
+    ) -> dict[InstanceId, _messages.ConfigUpdate]:
+        request = _messages.ConfigRequest(
+            revision=self.revision, wants_document=wants_document
+        )
+        calls = (self._request(peer, request) for peer in instances)
+        replies = await asyncio.gather(*calls)
+        pairs = zip(instances, replies, strict=True)
+        return {peer: reply for peer, reply in pairs if reply is not None}
+
+    async def _request(
+        self, peer: InstanceId, request: _messages.ConfigRequest
+    ) -> _messages.ConfigUpdate | None:
+        started_s = self.clock.now()
+        try:
+            reply = await self.network.request(
+                peer, request, timeout_s=self.request_timeout_s
+            )
+            self._take_intents(reply.intents)
+            if reply.document:
+                stored = _stored.Stored.from_bytes(
+                    reply.document, source=f"ConfigUpdate from {peer}"
+                )
+                self._apply(stored)
+        except peers.PeerError:
+            return None
+        except (_errors.InvalidConfigurationError, TypeError) as error:
+            eliot.log_message(
+                message_type="configuration:invalid-update", fault=str(error)
+            )
+            return None
+        if self._matches(reply) and reply.age_s >= 0:
+            # Counted from before the request, so transit time is included.
+            age_s = self.clock.now() - started_s + reply.age_s
+            self._confirm(reply.revision, age_s, membership.Source.PEER)
+        return reply
+
+    def _matches(self, reply: _messages.ConfigUpdate) -> bool:
+        if self._stored is None or reply.revision != self.revision:
+            return False
+        stamp = self._stored.stamp
+        return (reply.writer, reply.sequence) == (stamp.writer, stamp.sequence)
+
+    def _confirm_by_majority(
+        self,
+        replies: dict[InstanceId, _messages.ConfigUpdate],
+        started_s: float,
+    ) -> None:
+        """Confirms the revision when nobody reached reaches the store.
+
+        The replies' intents have been taken over, so a zone on which a member
+        of the majority holds an intent is not started in.
+        """
+        members = set(self.view().instances)
+        states = {r.store_state for r in replies.values()}
+        states.add(self.store_state.value)
+        if _StoreState.REACHED.value in states or self._stored is None:
+            return
+        votes = {
+            peer
+            for peer, reply in replies.items()
+            if reply.store_state == _StoreState.UNREACHABLE.value
+            and self._matches(reply)
+        }
+        if self.store_state is _StoreState.UNREACHABLE:
+            votes.add(self.network.instance)
+        is_voter = self.network.instance in votes & members
+        if is_voter and len(votes & members) >= self.view().majority:
+            age_s = self.clock.now() - started_s
+            self._confirm(self.revision, age_s, membership.Source.MAJORITY)
+
+    def _update(self, *, document: bytes = b"") -> _messages.ConfigUpdate:
+        stamp = self._stored.stamp if self._stored else None
+        age_s = self._age_s()
+        source = self.confirmations.source(SUBJECT)
+        # A majority's confirmation holds only for the instance that asked.
+        is_own = source is membership.Source.MAJORITY
+        is_relayed = math.isfinite(age_s) and not is_own
+        return _messages.ConfigUpdate(
+            revision=self.revision,
+            document=document,
+            writer=stamp.writer if stamp else "",
+            sequence=stamp.sequence if stamp else 0,
+            age_s=age_s if is_relayed else -1.0,
+            store_state=self._reader.state.value,
+            intents=self.intents.to_plain(),
+        )
+
+    async def _on_request(
+        self, sender: InstanceId, request: _messages.ConfigRequest
+    ) -> _messages.ConfigUpdate:
+        is_newer = self.revision > request.revision
+        if self._stored and is_newer and request.wants_document:
+            return self._update(document=self._stored.to_bytes())
+        return self._update()
+
+    async def _on_announcement(
+        self, sender: InstanceId, update: _messages.ConfigUpdate
+    ) -> None:
+        self._take_intents(update.intents)
+        if update.revision > self.revision:
+            self._announced[sender] = update.revision
+            self._hint.set()
--- /dev/null
+++ b/magnoliaglade/configuration/_messages.py
@@ -0,0 +1,106 @@
+"""Messages that spread the configuration between entry instances."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from magnoliaglade import peers
+
+
+class StoreState(enum.Enum):
+    """Result of an instance's latest reads of the store."""
+
+    REACHED = "reached"
+    UNREACHABLE = "unreachable"
+    NOT_TRIED = "not-tried"
+    REFUSED = "refused"
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigRequest(peers.Message):
+    """Asks for a newer configuration, a confirmation and the intents.
+
+    Attributes:
+        revision: revision in force at the sender.
+        wants_document: whether the reply may carry a newer configuration.
+    """
+
+    revision: int
+    wants_document: bool = True
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigUpdate(peers.Message):
+    """Reply to a ConfigRequest; also sent unasked to announce a revision.
+
+    An announcement confirms nothing, because the receiver cannot tell how long
+    it was under way.
+
+    Attributes:
+        revision: revision in force at the sender; 0 if there is none.
+        document: the stamped configuration if it is newer than asked for.
+        writer: writer of the stamp of the revision.
+        sequence: sequence of that stamp.
+        age_s: age of the sender's confirmation from the store; negative if
+            there is none.
+        store_state: a `StoreState` value.
+        intents: plain intents, see `ZoneIntent.to_plain`.
+    """
+
+    revision: int
+    document: bytes = b""
+    writer: str = ""
+    sequence: int = 0
+    age_s: float = -1.0
+    store_state: str = StoreState.NOT_TRIED.value
+    intents: tuple[Any, ...] = ()
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZoneIntent(peers.Message):
+    """A zone removal (or its withdrawal) in effect before it is stored.
+
+    Attributes:
+        zone: the zone.
+        removed: False withdraws an earlier intent.
+        writer: instance that stores it.
+        sequence: a higher one replaces the intent on the zone.
+        base_revision: revision in force at the writer.
+        settled_revision: a revision that includes it; 0 if none is known. It
+            stays in effect at a holder until this revision is in force there,
+            and is kept so that a peer that was cut off learns of it.
+    """
+
+    zone: str
+    removed: bool
+    writer: str
+    sequence: int
+    base_revision: int
+    settled_revision: int = 0
+
+    @property
+    def order(self) -> tuple[int, bool, str]:
+        """Sort key; of two with one sequence the removal is the safe one."""
+        return self.sequence, self.removed, self.writer
+
+    def to_plain(self) -> tuple[Any, ...]:
+        """Returns the fields in order."""
+        return dataclasses.astuple(self)
+
+
+@peers.message
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZoneIntentAck(peers.Message):
+    """Reply to a ZoneIntent.
+
+    Attributes:
+        holder: the replying instance.
+        applied: whether it holds this intent, or a configuration that includes
+            it is in force.
+    """
+
+    holder: str
+    applied: bool
--- /dev/null
+++ b/magnoliaglade/configuration/_reader.py
@@ -0,0 +1,127 @@
+"""Reads of the current revision that notice a store that has gone back."""
+
+import asyncio
+import dataclasses
+
+import eliot
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.configuration import (
+    _errors,
+    _messages,
+    _store,
+    _stored,
+)
+
+_StoreState = _messages.StoreState
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reading:
+    """Result of a read that can be believed.
+
+    Attributes:
+        stored: the current revision; None before the first one.
+        age_s: upper bound on the age of the result.
+    """
+
+    stored: _stored.Stored | None
+    age_s: float
+
+
+class StoreReader:
+    """Reads one at a time, so that results arrive in the order of reads."""
+
+    def __init__(
+        self,
+        *,
+        configurations: _store.ConfigurationStore,
+        clock: clock_lib.Clock,
+        timeout_s: float,
+    ) -> None:
+        self.configurations = configurations
+        self.clock = clock
+        self.timeout_s = timeout_s
+        self.state = _StoreState.NOT_TRIED
+        self.fault: str | None = None
+        self._store_revision = 0
+        self._lock = asyncio.Lock()
+
+    def forget(self) -> None:
+        """Resets the state, when this instance no longer reads."""
+        if self.state is not _StoreState.REFUSED:
+            self.state = _StoreState.NOT_TRIED
+
+    async def read(self, known: _stored.Stored | None) -> Reading | None:
+        """Returns the current revision, or None if there is no such result.
+
+        Args:
+            known: the revision in force before the read.
+        """
+        started_s = self.clock.now()
+        async with self._lock:
+            try:
+                stored = await self.clock.wait_for(
+                    self._read_with_lineage(known), self.timeout_s
+                )
+            except (
+                StoreWentBackError,
+                _errors.InvalidConfigurationError,
+            ) as error:
+                self._refuse(str(error))
+                return None
+            except (_errors.ConfigurationError, TimeoutError):
+                self.state = _StoreState.UNREACHABLE
+                return None
+        self.state = _StoreState.REACHED
+        self.fault = None
+        return Reading(stored=stored, age_s=self.clock.now() - started_s)
+
+    async def watch(self, *, wait_s: float) -> None:
+        """Returns after a write or `wait_s`; a lost watch ends soon after.
+
+        Raises:
+            ConfigurationError, TimeoutError: the watch failed or was lost.
+        """
+        call = self.configurations.watch(
+            after=self._store_revision, wait_s=wait_s
+        )
+        await self.clock.wait_for(call, wait_s + self.timeout_s)
+
+    async def _read_with_lineage(
+        self, known: _stored.Stored | None
+    ) -> _stored.Stored | None:
+        stored = await self.configurations.current()
+        self._store_revision = stored.store_revision if stored else 0
+        if known is None:
+            return stored
+        revision = stored.configuration.revision if stored else 0
+        if stored is None or revision < known.configuration.revision:
+            raise StoreWentBackError(known, revision)
+        found: _stored.Stored | None = stored
+        if revision > known.configuration.revision:
+            # A store that lost revisions may have risen past this one since.
+            # No entry is allowed: the operators' way to recover leaves a gap.
+            found = await self.configurations.recorded(
+                known.configuration.revision
+            )
+        if found is not None and found.stamp != known.stamp:
+            raise StoreWentBackError(known, revision)
+        return stored
+
+    def _refuse(self, fault: str) -> None:
+        self.state = _StoreState.REFUSED
+        if self.fault is None:
+            eliot.log_message(message_type="configuration:refused", fault=fault)
+        self.fault = fault
+
+
+class StoreWentBackError(_errors.ConfigurationError):
+    """The store holds an older or another revision than the one in force."""
+
+    def __init__(self, known: _stored.Stored, revision: int) -> None:
+        super().__init__(
+            f"store has gone back: {_store.CURRENT_KEY}: found revision "
+            f"{revision} without revision {known.configuration.revision} by "
+            f"{known.stamp.writer}; allowed: this revision or its successors"
+        )
--- a/magnoliaglade/configuration/_store.py
+++ b/magnoliaglade/configuration/_store.py
@@ -18,6 +18,7 @@
     _diff,
     _errors,
     _schema,
+    _stored,
 )
 from magnoliaglade.types import Revision, ZoneId
 
@@ -31,70 +32,6 @@
 Edit = Callable[[_schema.Configuration], _schema.Configuration]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Stored:
-    """An accepted configuration.
-
-    Attributes:
-        configuration: the configuration.
-        stamp: identity of the write that made it current.
-        store_revision: revision of the key in the store; 0 if it did not come
-            from the store.
-    """
-
-    configuration: _schema.Configuration
-    stamp: store_lib.Stamp
-    store_revision: int = 0
-
-    def to_bytes(self) -> bytes:
-        """Encodes the configuration with its stamp."""
-        body = _codec.encode(self.configuration)
-        return store_lib.pack_stamped(body, stamp=self.stamp)
-
-    @classmethod
-    def from_bytes(
-        cls, data: bytes, *, source: str, store_revision: int = 0
-    ) -> "Stored":
-        """Decodes a stamped configuration.
-
-        Raises:
-            InvalidConfigurationError: the value is not one.
-        """
-        try:
-            body, stamp = store_lib.unpack_stamped(data)
-        except store_lib.StoreError as error:
-            raise _errors.InvalidConfigurationError(
-                source=source,
-                path="",
-                found=str(error),
-                allowed="a stamped configuration",
-            ) from error
-        return cls(
-            configuration=_codec.decode(
-                _schema.Configuration, body, source=source
-            ),
-            stamp=stamp,
-            store_revision=store_revision,
-        )
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PendingWrite:
-    """A write of `config/current` whose outcome may be unknown.
-
-    Attributes:
-        configuration: the configuration to make current.
-        base: revision from which it was made; 0 if it is the first one.
-        expected: revision of the key in the store that it replaces.
-        stamp: identity of the write.
-    """
-
-    configuration: _schema.Configuration
-    base: int
-    expected: int
-    stamp: store_lib.Stamp
-
-
 class ConfigurationStore:
     """Reads and accepts configurations.
 
@@ -107,7 +44,7 @@
         self.writer = writer
         self._stamps = store_lib.StampedWriter(store=store, writer=writer)
 
-    async def current(self) -> Stored | None:
+    async def current(self) -> _stored.Stored | None:
         """Returns the current configuration, or None before the first one.
 
         Raises:
@@ -117,9 +54,9 @@
         """
         return await self._read(CURRENT_KEY)
 
-    async def show(self, revision: int) -> Stored | None:
+    async def show(self, revision: int) -> _stored.Stored | None:
         """Returns an accepted revision, or None if the history lacks it."""
-        stored = await self._read(f"{_HISTORY_PREFIX}{revision}")
+        stored = await self.recorded(revision)
         if stored is not None:
             return stored
         # The latest revision enters the history after it was accepted.
@@ -128,7 +65,7 @@
             return current
         return None
 
-    async def history(self) -> tuple[Stored, ...]:
+    async def history(self) -> tuple[_stored.Stored, ...]:
         """Returns all accepted revisions, oldest first."""
         with _translated():
             entries, _ = await self.store.list_prefix(_HISTORY_PREFIX)
@@ -162,7 +99,7 @@
         configuration: _schema.Configuration,
         *,
         base: int | None = None,
-    ) -> Stored:
+    ) -> _stored.Stored:
         """Makes a configuration current if nobody else was first.
 
         Args:
@@ -186,7 +123,7 @@
             # Nothing but a missing history entry has been written so far.
             raise _errors.ConfigurationUnavailableError(str(error)) from error
         return await self.resolve(
-            PendingWrite(
+            _stored.PendingWrite(
                 configuration=configuration,
                 base=base,
                 expected=current.store_revision if current else 0,
@@ -194,7 +131,7 @@
             )
         )
 
-    async def resolve(self, pending: PendingWrite) -> Stored:
+    async def resolve(self, pending: _stored.PendingWrite) -> _stored.Stored:
         """Writes, or finds out whether an earlier attempt was accepted.
 
         Repeating it never accepts a configuration twice.
@@ -217,7 +154,7 @@
             ) from error
         except store_lib.StoreError as error:
             raise _errors.ConfigurationUnavailableError(str(error)) from error
-        stored = Stored(
+        stored = _stored.Stored(
             configuration=pending.configuration,
             stamp=pending.stamp,
             store_revision=revision,
@@ -227,13 +164,36 @@
             await self._record(stored)
         return stored
 
-    async def change(self, edit: Edit) -> Stored:
+    async def recorded(self, revision: int) -> _stored.Stored | None:
+        """Returns a revision from the history alone, or None."""
+        return await self._read(f"{_HISTORY_PREFIX}{revision}")
+
+    async def watch(self, *, after: int, wait_s: float) -> bool:
+        """Waits for a write of the current revision.
+
+        Args:
+            after: revision of the key in the store that is known.
+            wait_s: longest wait in seconds.
+
+        Returns:
+            Whether there was one.
+        """
+        with _translated():
+            events = await self.store.watch(
+                CURRENT_KEY, after=after, wait_s=wait_s
+            )
+        return bool(events)
+
+    async def change(
+        self, edit: Edit, *, force: bool = False
+    ) -> _stored.Stored:
         """Applies an edit to the current configuration.
 
         The edit is repeated on the changed configuration when another change
         is accepted first, so neither is lost. It gets and returns a
         configuration of the current revision; an edit that changes nothing
-        writes nothing.
+        writes nothing unless `force` is set. A forced write makes delayed
+        writes fail that were made from the revision it replaces.
 
         Raises:
             See `accept`.
@@ -241,9 +201,9 @@
         for attempt in range(_CHANGE_ATTEMPTS):
             current = await self.current()
             if current is None:
-                raise _no_configuration()
+                raise no_configuration()
             edited = edit(current.configuration)
-            if edited == current.configuration:
+            if edited == current.configuration and not force:
                 return current
             revision = Revision(current.configuration.revision + 1)
             try:
@@ -257,7 +217,7 @@
 
     async def set_zone_state(
         self, zone: ZoneId, state: _schema.ZoneState
-    ) -> Stored:
+    ) -> _stored.Stored:
         """Removes a zone from service or returns it.
 
         Raises:
@@ -266,7 +226,7 @@
         """
         return await self.change(lambda c: with_zone_state(c, zone, state))
 
-    async def _prepare(self, base: int) -> Stored | None:
+    async def _prepare(self, base: int) -> _stored.Stored | None:
         """Returns the current revision, which is then in the history."""
         current = await self.current()
         actual = current.configuration.revision if current else 0
@@ -276,11 +236,13 @@
             await self._record(current)
         return current
 
-    async def _superseded(self, pending: PendingWrite) -> Stored:
+    async def _superseded(
+        self, pending: _stored.PendingWrite
+    ) -> _stored.Stored:
         """Finds an accepted and replaced write in the history."""
         revision = pending.configuration.revision
         try:
-            recorded = await self._read(f"{_HISTORY_PREFIX}{revision}")
+            recorded = await self.recorded(revision)
             if recorded is not None and recorded.stamp == pending.stamp:
                 return recorded
             current = await self.current()
@@ -295,9 +257,9 @@
         raise conflict
 
     async def _conflict(
-        self, base: int, current: Stored | None
+        self, base: int, current: _stored.Stored | None
     ) -> _errors.ConflictingChangeError:
-        made_from = await self._read(f"{_HISTORY_PREFIX}{base}")
+        made_from = await self.recorded(base)
         theirs = current.configuration if current else None
         changes = ()
         if made_from is not None and theirs is not None:
@@ -306,7 +268,7 @@
             base=base, theirs=theirs, changes=changes
         )
 
-    async def _record(self, stored: Stored) -> None:
+    async def _record(self, stored: _stored.Stored) -> None:
         """Writes a revision to the history unless it is there.
 
         A write that is repeated after a lost answer has the same content.
@@ -328,7 +290,7 @@
             except store_lib.ConflictError:
                 return
 
-    async def _read(self, key: str) -> Stored | None:
+    async def _read(self, key: str) -> _stored.Stored | None:
         with _translated():
             entry = await self.store.get(key)
         return None if entry is None else _decode(entry)
@@ -359,8 +321,8 @@
     return dataclasses.replace(configuration, zones=zones)
 
 
-def _decode(entry: store_lib.Entry) -> Stored:
-    return Stored.from_bytes(
+def _decode(entry: store_lib.Entry) -> _stored.Stored:
+    return _stored.Stored.from_bytes(
         entry.value, source=entry.key, store_revision=entry.revision
     )
 
@@ -384,7 +346,8 @@
     _check.require_structure(configuration)
 
 
-def _no_configuration() -> _errors.ConfigurationError:
+def no_configuration() -> _errors.ConfigurationError:
+    """Returns the error for a command before the first configuration."""
     return _errors.InvalidConfigurationError(
         source=CURRENT_KEY,
         path="",
--- /dev/null
+++ b/magnoliaglade/configuration/_zones.py
@@ -0,0 +1,320 @@
+"""Zone removal by intent, and the zones in which work may start now."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import eliot
+
+from magnoliaglade import base, membership, peers
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.configuration import (
+    _agent,
+    _errors,
+    _intents,
+    _messages,
+    _schema,
+    _store,
+    _stored,
+)
+from magnoliaglade.types import InstanceId, ZoneId
+
+CONFIRMATION_MAX_AGE_S = 3.0
+_MS_PER_S = 1000
+
+
+class ZoneGate:
+    """Tells where work may start, see section 6.5 of the design."""
+
+    def __init__(
+        self,
+        *,
+        agent: _agent.ConfigurationAgent,
+        confirmations: membership.Confirmations,
+        intents: _intents.Intents,
+        max_age_s: float = CONFIRMATION_MAX_AGE_S,
+    ) -> None:
+        self.agent = agent
+        self.confirmations = confirmations
+        self.intents = intents
+        self.max_age_s = max_age_s
+
+    def startable_zones(self) -> frozenset[ZoneId]:
+        """Returns the zones in service that are confirmed and not removed."""
+        configuration = self.agent.configuration
+        if configuration is None:
+            return frozenset()
+        if not self.confirmations.is_fresh(
+            _agent.SUBJECT, configuration.revision, max_age_s=self.max_age_s
+        ):
+            return frozenset()
+        return configuration.zones_in_service - self.intents.removed_zones
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZoneReport:
+    """How far a zone's removal or return has come.
+
+    Attributes:
+        zone: the zone.
+        removed: whether it is removed or returned.
+        confirmed: instances that hold the intent.
+        unconfirmed: members of the view that have not confirmed.
+        is_in_effect: whether a majority of the view and the owner of the zone
+            hold it.
+        is_stored: whether an accepted configuration includes it.
+    """
+
+    zone: ZoneId
+    removed: bool
+    confirmed: frozenset[InstanceId]
+    unconfirmed: frozenset[InstanceId]
+    is_in_effect: bool
+    is_stored: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Pending:
+    intent: _messages.ZoneIntent
+    write: _stored.PendingWrite
+
+
+class _WithdrawnError(_errors.ConfigurationError):
+    """A later intent on the zone has replaced the one to be stored."""
+
+
+class ZoneControl(base.Component):
+    """Spreads zone intents and stores them as soon as the store responds."""
+
+    _parameter_constraints = {
+        name: [base.Interval(kind=float, low=0, low_open=True)]
+        for name in ("request_timeout_s", "store_timeout_s", "retry_s")
+    }
+
+    def __init__(
+        self,
+        *,
+        agent: _agent.ConfigurationAgent,
+        configurations: _store.ConfigurationStore,
+        network: peers.PeerNetwork,
+        clock: clock_lib.Clock,
+        view: Callable[[], membership.View],
+        intents: _intents.Intents,
+        owner_of: Callable[[ZoneId], InstanceId | None] = lambda zone: None,
+        request_timeout_s: float = 0.5,
+        store_timeout_s: float = 2.0,
+        retry_s: float = 1.0,
+    ) -> None:
+        self.agent = agent
+        self.configurations = configurations
+        self.network = network
+        self.clock = clock
+        self.view = view
+        self.intents = intents
+        self.owner_of = owner_of
+        self.request_timeout_s = request_timeout_s
+        self.store_timeout_s = store_timeout_s
+        self.retry_s = retry_s
+        self._loop: asyncio.Task[None] | None = None
+        self._writes: dict[str, asyncio.Task[None]] = {}
+        self._pending: dict[str, _Pending] = {}
+
+    async def start(self) -> None:
+        """Receives intents and stores open ones."""
+        self.validate_params()
+        self.network.handle(_messages.ZoneIntent, self._on_intent)
+        self._loop = asyncio.create_task(self._store_loop())
+
+    async def stop(self) -> None:
+        """Ends the background tasks; open intents stay with the peers."""
+        tasks = [*self._writes.values(), *([self._loop] if self._loop else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._writes.clear()
+        self._loop = None
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the open intents and whether a write is unresolved."""
+        return {
+            "open": [list(i.to_plain()) for i in self.intents.open],
+            "unresolved": sorted(self._pending),
+        }
+
+    async def remove(self, zone: ZoneId) -> ZoneReport:
+        """Removes a zone from service.
+
+        Raises:
+            InvalidConfigurationError: the zone is unknown here.
+        """
+        return await self._command(zone, removed=True)
+
+    async def return_zone(self, zone: ZoneId) -> ZoneReport:
+        """Returns a zone to service and withdraws a removal.
+
+        Raises:
+            InvalidConfigurationError: the zone is unknown here.
+        """
+        return await self._command(zone, removed=False)
+
+    async def report(self, zone: ZoneId) -> ZoneReport | None:
+        """Asks the instances again about the latest command on a zone."""
+        intent = self.intents.get(zone)
+        if intent is None:
+            return None
+        return self._report(intent, await self._spread(intent))
+
+    async def _command(self, zone: ZoneId, *, removed: bool) -> ZoneReport:
+        configuration = self.agent.configuration
+        if configuration is None:
+            raise _store.no_configuration()
+        _store.with_zone_state(configuration, zone, _state(removed))
+        intent = self._new_intent(zone, removed, configuration.revision)
+        self.intents.merge(intent)
+        confirmed = await self._spread(intent)
+        write = asyncio.shield(self._ensure_write(intent))
+        # After the timeout the write continues; the report says so.
+        with contextlib.suppress(TimeoutError):
+            await self.clock.wait_for(write, self.store_timeout_s)
+        return self._report(intent, confirmed)
+
+    def _new_intent(
+        self, zone: ZoneId, removed: bool, revision: int
+    ) -> _messages.ZoneIntent:
+        known = self.intents.get(zone)
+        # Wall time keeps sequences rising over restarts of the writer.
+        floor = int(self.clock.time() * _MS_PER_S)
+        return _messages.ZoneIntent(
+            zone=zone,
+            removed=removed,
+            writer=self.network.instance,
+            sequence=max(known.sequence + 1 if known else 1, floor),
+            base_revision=revision,
+        )
+
+    async def _spread(
+        self, intent: _messages.ZoneIntent
+    ) -> frozenset[InstanceId]:
+        """Sends an intent to all instances; returns those that hold it."""
+        own = self.network.instance
+        others = set(self.view().instances) | self.network.live_peers
+        order = sorted(others - {own})
+        held = await asyncio.gather(*(self._send(p, intent) for p in order))
+        confirmed = {p for p, h in zip(order, held, strict=True) if h}
+        if self.intents.is_latest(intent):
+            confirmed.add(own)
+        return frozenset(confirmed)
+
+    async def _send(
+        self, peer: InstanceId, intent: _messages.ZoneIntent
+    ) -> bool:
+        try:
+            ack = await self.network.request(
+                peer, intent, timeout_s=self.request_timeout_s
+            )
+        except peers.PeerError:
+            return False
+        return isinstance(ack, _messages.ZoneIntentAck) and ack.applied
+
+    def _report(
+        self, intent: _messages.ZoneIntent, confirmed: frozenset[InstanceId]
+    ) -> ZoneReport:
+        view = self.view()
+        zone = ZoneId(intent.zone)
+        owner = self.owner_of(zone)
+        members = frozenset(view.instances)
+        has_majority = len(confirmed & members) >= view.majority
+        return ZoneReport(
+            zone=zone,
+            removed=intent.removed,
+            confirmed=confirmed,
+            unconfirmed=members - confirmed,
+            is_in_effect=has_majority and (owner is None or owner in confirmed),
+            is_stored=self.intents.is_settled(intent),
+        )
+
+    async def _on_intent(
+        self, sender: InstanceId, intent: _messages.ZoneIntent
+    ) -> _messages.ZoneIntentAck:
+        self.intents.merge(intent)
+        configuration = self.agent.configuration
+        if configuration is not None:
+            self.intents.settle_from(configuration)
+        return _messages.ZoneIntentAck(
+            holder=self.network.instance,
+            applied=self.intents.is_latest(intent),
+        )
+
+    async def _store_loop(self) -> None:
+        while True:
+            for intent in self.intents.open:
+                if self._is_responsible(intent):
+                    # Repeated, because an instance may have been cut off.
+                    await self._spread(intent)
+                    self._ensure_write(intent)
+            await self.clock.sleep(self.retry_s)
+
+    def _is_responsible(self, intent: _messages.ZoneIntent) -> bool:
+        own = self.network.instance
+        live = self.network.live_peers
+        if intent.writer == own or intent.writer in live:
+            return intent.writer == own
+        # The writer is gone: one of the holders takes its place.
+        return membership.rendezvous_order(intent.zone, live | {own})[0] == own
+
+    def _ensure_write(self, intent: _messages.ZoneIntent) -> asyncio.Task[None]:
+        write = self._writes.get(intent.zone)
+        if write is None or write.done():
+            write = asyncio.create_task(self._write(intent))
+            self._writes[intent.zone] = write
+        return write
+
+    async def _write(self, intent: _messages.ZoneIntent) -> None:
+        try:
+            stored = await self._resolve_or_change(intent)
+        except _errors.ConfigurationUnknownError as error:
+            if error.pending is not None:
+                self._pending[intent.zone] = _Pending(
+                    intent=intent, write=error.pending
+                )
+        except _WithdrawnError:
+            return
+        except _errors.ConfigurationError as error:
+            eliot.log_message(
+                message_type="configuration:intent-not-stored",
+                zone=intent.zone,
+                fault=str(error),
+            )
+        else:
+            self._pending.pop(intent.zone, None)
+            self.intents.settle(intent, stored.configuration.revision)
+            await self.agent.adopt(stored)
+
+    async def _resolve_or_change(
+        self, intent: _messages.ZoneIntent
+    ) -> _stored.Stored:
+        pending = self._pending.get(intent.zone)
+        if pending is not None and pending.intent.order == intent.order:
+            with contextlib.suppress(_errors.ConflictingChangeError):
+                return await self.configurations.resolve(pending.write)
+
+        def edit(
+            configuration: _schema.Configuration,
+        ) -> _schema.Configuration:
+            if not self.intents.is_latest(intent):
+                raise _WithdrawnError(intent.zone)
+            zone, state = ZoneId(intent.zone), _state(intent.removed)
+            return _store.with_zone_state(configuration, zone, state)
+
+        # A withdrawal, and any change after an unresolved write, is always
+        # written, so that a delayed write cannot be accepted afterwards.
+        force = pending is not None or not intent.removed
+        return await self.configurations.change(edit, force=force)
+
+
+def _state(removed: bool) -> _schema.ZoneState:
+    if removed:
+        return _schema.ZoneState.REMOVED
+    return _schema.ZoneState.IN_SERVICE
