--- a/magnoliaglade/membership/__init__.py
+++ b/magnoliaglade/membership/__init__.py
@@ -5,6 +5,7 @@
     Handover,
     OwnershipCampaign,
 )
+from magnoliaglade.membership._confirmations import Confirmations, Source
 from magnoliaglade.membership._grants import (
     Grant,
     GrantBook,
@@ -23,6 +24,7 @@
 )
 
 __all__ = [
+    "Confirmations",
     "DomainService",
     "Grant",
     "GrantBook",
@@ -37,6 +39,7 @@
     "OwnerDirectory",
     "OwnerRecord",
     "OwnershipCampaign",
+    "Source",
     "View",
     "make_view",
     "rendezvous_order",
