Add routing of jobs between instances and domains

Cause: a submission reaches any entry instance and may be repeated through another one. Change: a registrar by submission id serialises repetitions and looks for an earlier acceptance in all domains; zones are chosen by feasibility and load; a handler that fails is an unknown outcome, not a refusal.

--- a/magnoliaglade/execution/__init__.py
+++ b/magnoliaglade/execution/__init__.py
@@ -17,6 +17,7 @@
     LaunchOutcome,
     LaunchStep,
 )
+from magnoliaglade.execution._loads import DomainLoad, LoadBoard, measure_load
 from magnoliaglade.execution._owner import DomainOwner
 from magnoliaglade.execution._records import (
     Accepted,
@@ -27,9 +28,22 @@
     decode_record,
     encode_record,
 )
+from magnoliaglade.execution._router import (
+    FoundJob,
+    JobRouter,
+    domain_of,
+    zone_of,
+)
 from magnoliaglade.execution._table import JobTable
 
 __all__ = [
+    "DomainLoad",
+    "FoundJob",
+    "JobRouter",
+    "LoadBoard",
+    "domain_of",
+    "measure_load",
+    "zone_of",
     "GANG_CONFIRM_S",
     "RESERVATION_TTL_S",
     "TASK_LEASE_TTL_S",
--- a/magnoliaglade/peers/_stream.py
+++ b/magnoliaglade/peers/_stream.py
@@ -21,6 +21,8 @@
 # Requests of one peer that are handled at the same time.
 MAX_CONCURRENT_REQUESTS = 1_000
 REFUSED = "Refused"
+# The handler failed; the message may have had its effect.
+FAILED = "Failed"
 
 Serve = Callable[[_frames.Frame], Awaitable[base.Message | None]]
 
@@ -114,6 +116,8 @@
             self._pending.pop(sequence, None)
         if frame.type == REFUSED:
             raise base.PeerRefusedError(str(frame.payload.get("reason")))
+        if frame.type == FAILED:
+            raise base.PeerUnknownError(str(frame.payload.get("reason")))
         if not frame.type:
             return None
         return base.decode_message(frame.type, frame.payload)
@@ -136,9 +140,13 @@
     async def _serve(self, frame: _frames.Frame) -> None:
         try:
             reply = await self.serve(frame)
-        except Exception as error:
+        except (base.PeerRefusedError, base.MessageError) as error:
             self.counts["requests_refused"] += 1
-            self._refuse(frame.sequence, repr(error))
+            self._refuse(frame.sequence, str(error))
+            return
+        except Exception as error:
+            self.counts["requests_failed"] += 1
+            self._refuse(frame.sequence, repr(error), name=FAILED)
             return
         with contextlib.suppress(base.PeerError):
             if reply is None:
@@ -146,9 +154,11 @@
             else:
                 self.send(reply, in_reply_to=frame.sequence)
 
-    def _refuse(self, sequence: int, reason: str) -> None:
+    def _refuse(
+        self, sequence: int, reason: str, *, name: str = REFUSED
+    ) -> None:
         with contextlib.suppress(base.PeerError):
-            self._write(REFUSED, {"reason": reason}, sequence)
+            self._write(name, {"reason": reason}, sequence)
 
     def _write(self, name: str, payload: Any, in_reply_to: int) -> int:
         if not self.is_open:
--- a/magnoliaglade/peers/base.py
+++ b/magnoliaglade/peers/base.py
@@ -38,11 +38,11 @@
 
 
 class PeerUnknownError(PeerError):
-    """The message was sent and no reply came; it may have had its effect."""
+    """No reply came or the handler failed; there may have been an effect."""
 
 
 class PeerRefusedError(PeerError):
-    """The peer's handler refused the message; it had no effect."""
+    """The message had no effect: no handler, or the handler raised this."""
 
 
 class MessageError(PeerError):
@@ -123,8 +123,9 @@
 
         Raises:
             PeerUnreachableError: the message was not sent.
-            PeerUnknownError: no reply within the timeout.
-            PeerRefusedError: the handler raised or there is none.
+            PeerUnknownError: no reply within the timeout, or the handler
+                failed.
+            PeerRefusedError: the handler raised this, or there is none.
         """
 
     async def broadcast(self, value: Message) -> None:
--- a/magnoliaglade/peers/tests/test_network.py
+++ b/magnoliaglade/peers/tests/test_network.py
@@ -52,7 +52,9 @@
 
         async def echo(sender, value):
             if value.text == "bad":
-                raise ValueError("bad")
+                raise peers.PeerRefusedError("bad")
+            if value.text == "broken":
+                raise ValueError("broken after an effect")
             return Echo(text=f"{sender}:{value.text}")
 
         b.handle(Echo, echo)
@@ -60,6 +62,9 @@
         assert reply.text == "a:x"
         with pytest.raises(peers.PeerRefusedError):
             await a.request(InstanceId("b"), Echo(text="bad"), timeout_s=5)
+        # A handler that fails may have had an effect before.
+        with pytest.raises(peers.PeerUnknownError):
+            await a.request(InstanceId("b"), Echo(text="broken"), timeout_s=5)
         await a.stop()
         await b.stop()
 
--- a/magnoliaglade/scheduling/__init__.py
+++ b/magnoliaglade/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from magnoliaglade.scheduling._cells import GuaranteeLedger, bind_guarantees
 from magnoliaglade.scheduling._cells_policy import CellsPolicy
 from magnoliaglade.scheduling._errors import InvalidPlanError, SchedulingError
+from magnoliaglade.scheduling._feasibility import feasible_zones
 from magnoliaglade.scheduling._first_fit import FirstFitPolicy
 from magnoliaglade.scheduling._model import (
     Adjacency,
@@ -49,4 +50,5 @@
     "apply_plan",
     "bind_guarantees",
     "decide",
+    "feasible_zones",
 ]
