Add estimators, job benchmark and consolidation behind a parameter

Cause: declared run times mislead the order, and decisions had no measure.

Change: quantile estimators by account and kind, memory_action, virtual-clock benchmarks, reclaim that lays unused cells where eviction stops the least work, delayed reclaim for small gangs (their tests now submit earlier, with the same assertions), consolidation behind CellsPolicy(consolidate=False).

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each module's `run(seed)` returns measured figures."""
--- a/magnoliaglade/scheduling/__init__.py
+++ b/magnoliaglade/scheduling/__init__.py
@@ -3,6 +3,15 @@
 from magnoliaglade.scheduling._cells import GuaranteeLedger, bind_guarantees
 from magnoliaglade.scheduling._cells_policy import CellsPolicy
 from magnoliaglade.scheduling._errors import InvalidPlanError, SchedulingError
+from magnoliaglade.scheduling._estimators import (
+    MemoryAction,
+    MemoryEstimator,
+    MemoryReport,
+    Observation,
+    QuantileEstimator,
+    RunTimeEstimator,
+    memory_action,
+)
 from magnoliaglade.scheduling._first_fit import FirstFitPolicy
 from magnoliaglade.scheduling._model import (
     Adjacency,
@@ -34,13 +43,19 @@
     "GuaranteeLedger",
     "GuaranteedCells",
     "InvalidPlanError",
+    "MemoryAction",
+    "MemoryEstimator",
+    "MemoryReport",
+    "Observation",
     "Placement",
     "Plan",
     "Policy",
     "Priority",
+    "QuantileEstimator",
     "Refusal",
     "RefusalReason",
     "Reservation",
+    "RunTimeEstimator",
     "RunningGang",
     "SchedulingError",
     "Shape",
@@ -49,4 +64,5 @@
     "apply_plan",
     "bind_guarantees",
     "decide",
+    "memory_action",
 ]
--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -117,7 +117,10 @@
         """
         table = self._table(gang.shape)
         best: tuple[tuple, list[WorkerId]] | None = None
-        for group, total in self._groups(table, gang.adjacency):
+        adjacency = gang.adjacency
+        if gang.tasks == 1:
+            adjacency = _model.Adjacency.WORKER
+        for group, total in self._groups(table, adjacency):
             if total < gang.tasks:
                 continue
             members = self._members(group, table, withheld)
--- a/magnoliaglade/scheduling/_cells.py
+++ b/magnoliaglade/scheduling/_cells.py
@@ -136,8 +136,12 @@
         self._fixed: dict[ZoneId, dict[AccountId, Counter]] = defaultdict(
             lambda: defaultdict(Counter)
         )
+        # Accelerators that stop when the borrowers on a worker are evicted.
+        self._cost: Counter = Counter()
         for gang in running:
-            if not is_evictable(gang):
+            if is_evictable(gang):
+                self._add_cost(gang.gang, gang.placement.assignments)
+            else:
                 self._add(gang.gang, gang.placement.assignments)
         self._layouts: dict[ZoneId, Layout] = {}
 
@@ -174,6 +178,7 @@
         """
         zones = {self.workers[w].zone for w, _ in assignments}
         if not gang.at_most_once and not self._has_cells(gang.account, zones):
+            self._add_cost(gang, assignments)
             return True
         before = {z: self.layout(z) for z in zones}
         self._add(gang, assignments)
@@ -184,7 +189,17 @@
             self._layouts.update(after)
             return False
         self._add(gang, assignments, sign=-1)
-        return None if gang.at_most_once else True
+        if gang.at_most_once:
+            return None
+        self._add_cost(gang, assignments)
+        return True
+
+    def _add_cost(
+        self, gang: _model.Gang, assignments: _capacity.Assignments
+    ) -> None:
+        size = gang.tasks * gang.shape.accelerators
+        for w, _ in assignments:
+            self._cost[w] += size
 
     def _has_cells(self, account: AccountId, zones: set[ZoneId]) -> bool:
         return all(
@@ -210,6 +225,7 @@
             workers=self._zone_workers[zone],
             racks=self._racks,
             fixed=self._fixed[zone],
+            cost=self._cost,
         ).run(self._guarantees[zone])
 
 
@@ -218,7 +234,8 @@
 
     Sizes of accelerator cells divide each other, so placing them in order of
     falling size finds room whenever free accelerators allow it. Cells that
-    cover work in place go before cells that are unused.
+    cover work in place go before cells that are unused, and these go where
+    taking them back stops the least work.
     """
 
     def __init__(
@@ -227,8 +244,10 @@
         workers: list[_model.Worker],
         racks: Mapping[tuple, int],
         fixed: Mapping[AccountId, Counter],
+        cost: Mapping[WorkerId, int],
     ) -> None:
         self.racks = racks
+        self.cost = cost
         self._total = {w.worker: w.shape.accelerators for w in workers}
         self._by_rack: dict[tuple, list[WorkerId]] = defaultdict(list)
         for w in workers:
@@ -297,7 +316,7 @@
 
     def _rack_options(self, account: AccountId, covering: bool) -> list:
         use = self._use.get(account, Counter())
-        options = []
+        options, cost = [], self.cost.__getitem__
         for key, members in sorted(self._by_rack.items()):
             whole = len(members) == self.racks[key] and all(
                 self._left[w] == self._total[w] and self._used[w] == use[w]
@@ -305,8 +324,8 @@
             )
             own = sum(use[w] for w in members)
             if whole and (own > 0) == covering:
-                options.append((-own, key, members))
-        return [members for _, _, members in sorted(options)]
+                options.append((-own, sum(map(cost, members)), key, members))
+        return [members for *_, members in sorted(options)]
 
     def _worker_options(
         self, account: AccountId, size: int, covering: bool
@@ -318,8 +337,8 @@
             own = use[w]
             room = self._left[w] - (self._used[w] - own)
             if room >= size and (own > 0) == covering:
-                ranked.append((-own, room, w, room // size))
-        for own, _, w, fits in sorted(ranked):
+                ranked.append((-own, self.cost[w], room, w, room // size))
+        for own, _, _, w, fits in sorted(ranked):
             needed = math.ceil(-own / size) if covering else fits
             for _ in range(min(fits, needed)):
                 yield [w]
--- a/magnoliaglade/scheduling/_cells_policy.py
+++ b/magnoliaglade/scheduling/_cells_policy.py
@@ -1,5 +1,7 @@
 """Default policy: guarantees as cells, ordered starts, backfill, reclaim."""
 
+import functools
+
 from magnoliaglade import base, kernel
 from magnoliaglade.scheduling import (
     _capacity,
@@ -16,36 +18,53 @@
 # that cannot reclaim must not repeat it for each of them.
 _SEARCHES_MAX = 16
 
+# Small work ends soon and makes room without a restart; only after this wait
+# does a small gang evict borrowers from its account's cells. At once, small
+# gangs of equal rank evict each other in every burst.
+RECLAIM_SMALL_AFTER_S = 120.0
+
 
 @kernel.register("policy", "cells")
 class CellsPolicy(scheduling_base.Policy):
-    """Keeps guarantees as cells and uses what is left for all accounts."""
+    """Keeps guarantees as cells and uses what is left for all accounts.
+
+    Args:
+        searches_max: searches for victims per decision.
+        consolidate: whether a large gang that has waited too long may move
+            small checkpointable borrowers out of its way.
+    """
 
     _parameter_constraints = {
         "searches_max": [base.Interval(kind=int, low=0)],
+        "consolidate": [base.InstanceOf(cls=bool)],
     }
 
-    def __init__(self, *, searches_max: int = _SEARCHES_MAX) -> None:
+    def __init__(
+        self,
+        *,
+        searches_max: int = _SEARCHES_MAX,
+        consolidate: bool = False,
+    ) -> None:
         self.searches_max = searches_max
+        self.consolidate = consolidate
 
     def plan(
         self, snapshot: _model.ClusterSnapshot, *, seed: int
     ) -> _model.Plan:
         """Returns the plan for a snapshot."""
         self.validate_params()
-        return _Decision(snapshot=snapshot, searches_max=self.searches_max).run(
-            seed
-        )
+        return _Decision(snapshot=snapshot, policy=self).run(seed)
 
 
 class _Decision:
     """State of one decision while the plan is made."""
 
     def __init__(
-        self, *, snapshot: _model.ClusterSnapshot, searches_max: int
+        self, *, snapshot: _model.ClusterSnapshot, policy: CellsPolicy
     ) -> None:
         self.snapshot = snapshot
-        self._searches_left = searches_max
+        self._policy = policy
+        self._searches_left = policy.searches_max
         self._usage = _order.Usage.of(snapshot)
         self._capacity = _capacity.Capacity(
             workers=snapshot.workers,
@@ -89,10 +108,14 @@
 
     def _start(self, gang: _model.Gang) -> bool:
         rooms = self._rooms(gang)
-        for room in rooms:
-            found = _reclaim.place_in_cells(self._capacity, gang, room)
-            if found and self._commit(gang, found):
-                return True
+        # Small work goes where it leaves the most whole workers; only large
+        # gangs look for the account's own cells first, as they lose the most
+        # when they are evicted.
+        if _order.is_large(gang):
+            for room in rooms:
+                found = _reclaim.place_in_cells(self._capacity, gang, room)
+                if found and self._commit(gang, found):
+                    return True
         found = self._find(gang)
         if found and self._commit(gang, found):
             return True
@@ -121,21 +144,42 @@
     def _start_by_eviction(
         self, gang: _model.Gang, rooms: list[_cells.Units]
     ) -> bool:
-        is_urgent = gang.priority is _model.Priority.URGENT
-        if not (rooms or is_urgent) or self._searches_left <= 0:
+        searches = []
+        if self._may_reclaim(gang):
+            searches = [
+                functools.partial(self._reclaimer.within_cells, gang, room)
+                for room in rooms
+            ]
+        if gang.priority is _model.Priority.URGENT:
+            searches.append(functools.partial(self._reclaimer.anywhere, gang))
+        elif self._policy.consolidate and self._is_overdue(gang):
+            searches.append(
+                functools.partial(self._reclaimer.by_consolidation, gang)
+            )
+        if not searches or self._searches_left <= 0:
             return False
         self._searches_left -= 1
-        for room in rooms:
-            found = self._reclaimer.within_cells(gang, room)
+        for search in searches:
+            found = search()
             if found and self._commit(gang, found.assignments, found.victims):
                 return True
-        if not is_urgent:
-            return False
-        found = self._reclaimer.anywhere(gang)
-        return found is not None and self._commit(
-            gang, found.assignments, found.victims
+        return False
+
+    def _may_reclaim(self, gang: _model.Gang) -> bool:
+        return (
+            _order.is_large(gang)
+            or gang.priority is _model.Priority.URGENT
+            or self._waited_s(gang) >= RECLAIM_SMALL_AFTER_S
         )
 
+    def _is_overdue(self, gang: _model.Gang) -> bool:
+        return (
+            _order.is_large(gang) and self._waited_s(gang) > _order.LARGE_WAIT_S
+        )
+
+    def _waited_s(self, gang: _model.Gang) -> float:
+        return self.snapshot.now_s - gang.submitted_at_s
+
     def _commit(
         self,
         gang: _model.Gang,
@@ -167,6 +211,5 @@
     def _keep_workers(self, gang: _model.Gang, refusal: _model.Refusal) -> None:
         if self._reserver.is_full or refusal.permanent:
             return
-        waited = self.snapshot.now_s - gang.submitted_at_s
-        if _order.is_large(gang) and waited > _order.LARGE_WAIT_S:
+        if self._is_overdue(gang):
             self._reserver.reserve(gang)
--- a/magnoliaglade/scheduling/_order.py
+++ b/magnoliaglade/scheduling/_order.py
@@ -13,9 +13,9 @@
 # others as soon as they have waited for a moment.
 _BASE_RUN_S = 60.0
 
-# A large gang that has waited this long goes ahead of its class, because
-# small work that keeps arriving would otherwise always fit first.
-LARGE_WAIT_S = 900.0
+# A large gang that has waited this long goes ahead of all work that is not
+# urgent, because small work that keeps arriving would always fit first.
+LARGE_WAIT_S = 300.0
 
 # Batch work that has waited this long counts as normal work.
 AGEING_S = 4 * 3600.0
@@ -86,11 +86,12 @@
 ) -> Iterator[_model.Gang]:
     """Yields the waiting gangs, the most pressing first.
 
-    Classes go by priority. Within a class the order is: large gangs that
-    have waited too long, by submission; deadlines that are about to be
-    missed, by latest start; all others by (wait + run) / run, divided by
-    how far the account is above its fair share. `usage` is read again before
-    every step, so gangs started in between lower their account's rank.
+    Classes go by priority; large gangs that have waited too long count as
+    normal at least. Within a class the order is: these, by submission;
+    deadlines that are about to be missed, by latest start; all others by
+    (wait + run) / run, divided by how far the account is above its fair
+    share. `usage` is read again before every step, so gangs started in
+    between lower their account's rank.
     """
     heap = []
     for gang in snapshot.pending:
@@ -134,6 +135,7 @@
         priority = int(_model.Priority.NORMAL)
     ratio = (wait + run + _BASE_RUN_S) / (run + _BASE_RUN_S)
     if is_large(gang) and wait > LARGE_WAIT_S:
+        priority = max(priority, int(_model.Priority.NORMAL))
         return (-priority, 0), gang.submitted_at_s, ratio
     if gang.deadline_s is not None:
         slack = gang.deadline_s - snapshot.now_s - run
--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -1,4 +1,8 @@
-"""Choice of borrowers to evict for a gang: the fewest, then the youngest."""
+"""Choice of borrowers to evict for a gang: the fewest, then the youngest.
+
+Between equal numbers of victims those with fewer accelerators go first, so
+that a small job does not stop a large gang where a small borrower would do.
+"""
 
 import dataclasses
 from collections.abc import Iterable, Mapping
@@ -6,6 +10,9 @@
 from magnoliaglade.scheduling import _capacity, _cells, _model
 from magnoliaglade.types import JobId, WorkerId
 
+# A gang is moved for consolidation at most this often, so that it ends.
+MOVES_MAX = 2
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Reclaim:
@@ -66,6 +73,25 @@
 
         return self._search(gang, limits, may_evict)
 
+    def by_consolidation(self, gang: _model.Gang) -> Reclaim | None:
+        """Makes room for a large gang by moving small borrowers away.
+
+        Only gangs that continue from a checkpoint and hold at most a quarter
+        of the accelerators are moved, and none for the third time.
+        """
+        limits = dict.fromkeys(self.capacity.usable, gang.tasks)
+        size = gang.tasks * gang.shape.accelerators
+
+        def may_evict(victim: _model.RunningGang) -> bool:
+            return (
+                victim.gang.checkpointable
+                and victim.gang.priority <= gang.priority
+                and victim.gang.attempt <= MOVES_MAX
+                and 4 * accelerators(victim) <= size
+            )
+
+        return self._search(gang, limits, may_evict)
+
     def _search(self, gang, limits, may_evict) -> Reclaim | None:
         best: tuple | None = None
         for members in _capacity.groups(
@@ -80,8 +106,13 @@
         return best[1] if best else None
 
     def _cost(self, reclaim: Reclaim) -> tuple:
-        age = sum(-self._borrowers[v].started_at_s for v in reclaim.victims)
-        return (len(reclaim.victims), age, reclaim.victims)
+        victims = [self._borrowers[v] for v in reclaim.victims]
+        return (
+            len(victims),
+            sum(map(accelerators, victims)),
+            -sum(v.started_at_s for v in victims),
+            reclaim.victims,
+        )
 
     def _in_group(self, gang, members, limits, may_evict) -> Reclaim | None:
         trial = _Trial(
@@ -96,7 +127,9 @@
             for j in jobs
             if j in self._borrowers and may_evict(self._borrowers[j])
         ]
-        candidates.sort(key=lambda r: (-r.started_at_s, r.gang.job))
+        candidates.sort(
+            key=lambda r: (accelerators(r), -r.started_at_s, r.gang.job)
+        )
         victims = _fewest(trial, candidates, gang.tasks)
         if victims is None:
             return None
@@ -109,6 +142,11 @@
         )
 
 
+def accelerators(running: _model.RunningGang) -> int:
+    """Returns the accelerators that a running gang holds."""
+    return running.gang.tasks * running.gang.shape.accelerators
+
+
 class _Trial:
     """Slots on a group of workers as borrowers are taken away."""
 
@@ -202,9 +240,9 @@
 def _fewest(
     trial: _Trial, candidates: list[_model.RunningGang], need: int
 ) -> list[_model.RunningGang] | None:
-    """Chooses victims from candidates sorted youngest first.
+    """Chooses victims from candidates sorted by preference.
 
-    A single sufficient victim is taken if there is one, the youngest first.
+    A single sufficient victim is taken if there is one, the first.
     Otherwise the largest are taken until the gang fits, and then those that
     turned out to be unnecessary are put back, the oldest first.
     """
--- a/magnoliaglade/scheduling/_reserve.py
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -9,6 +9,11 @@
 # ends of running work are only estimates.
 RESERVATIONS_MAX = 2
 
+# Multiple of the expected run time that a backfilled gang must have until
+# the reservation is due: half of all gangs outrun a median estimate, and each
+# of these would put the reservation off.
+_BACKFILL_RUNS = 2.0
+
 
 class Reserver:
     """Keeps workers for gangs that cannot start yet.
@@ -37,8 +42,8 @@
         """Returns the workers that the gang must not use."""
         if not self.reservations:
             return frozenset()
-        now = self.snapshot.now_s
-        end = now + _order.expected_run_s(self.snapshot, gang)
+        run_s = _order.expected_run_s(self.snapshot, gang)
+        end = self.snapshot.now_s + _BACKFILL_RUNS * run_s
         late = [r.workers for r in self.reservations if end > r.until_s]
         return frozenset().union(*late)
 
