--- a/magnoliaglade/membership/_campaign.py
+++ b/magnoliaglade/membership/_campaign.py
@@ -34,7 +34,17 @@
 
 
 class DomainService(Protocol):
-    """What an owner runs for a domain."""
+    """What an owner runs for a domain.
+
+    A service renews its ownership by itself after an outage and tells when it
+    has lost it to another instance.
+    """
+
+    owned: store_lib.Owned
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether another instance owns the domain."""
 
     async def start(self) -> None:
         """Takes the domain's state over; errors give the domain up again."""
@@ -52,18 +62,12 @@
 Factory = Callable[[store_lib.Owned], DomainService]
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Running:
-    owned: store_lib.Owned
-    service: DomainService
-
-
 class OwnershipCampaign(base.Component):
     """Keeps the services of the domains that this instance owns.
 
     A service goes on while the store is down, although the lease has lapsed:
     what it may still do then is the service's own decision. It is abandoned
-    when this instance reaches the store again and its ownership has ended.
+    when it has lost the domain to another instance.
     """
 
     _parameter_constraints = {
@@ -98,7 +102,7 @@
         self.poll_s = poll_s
         self.rank_delay_s = rank_delay_s
         self.settle_s = settle_s
-        self._running: dict[str, _Running] = {}
+        self._running: dict[str, DomainService] = {}
         self._unowned_since_s: dict[str, float] = {}
         self._live_since_s: dict[InstanceId, float] = {}
         self._task: asyncio.Task[None] | None = None
@@ -107,12 +111,11 @@
     @property
     def owned(self) -> dict[str, Epoch]:
         """Epochs of the domains whose service runs here."""
-        return {d: r.owned.epoch for d, r in self._running.items()}
+        return {d: s.owned.epoch for d, s in self._running.items()}
 
     def service(self, domain: str) -> DomainService | None:
         """Returns the service of a domain if it runs here."""
-        running = self._running.get(domain)
-        return running.service if running else None
+        return self._running.get(domain)
 
     async def start(self) -> None:
         """Starts to campaign in the background."""
@@ -133,11 +136,11 @@
         """Returns epoch, validity and state of each running service."""
         return {
             d: {
-                "epoch": r.owned.epoch,
-                "valid": r.owned.is_valid,
-                "state": r.service.dump(),
+                "epoch": s.owned.epoch,
+                "valid": s.owned.is_valid,
+                "state": s.dump(),
             }
-            for d, r in sorted(self._running.items())
+            for d, s in sorted(self._running.items())
         }
 
     async def poll(self) -> None:
@@ -165,14 +168,17 @@
         observability.log_state_change("campaign", state=state, reason=reason)
 
     async def _poll_domain(self, domain: str, *, wanted: bool) -> None:
-        running = self._running.get(domain)
-        if running is None:
+        service = self._running.get(domain)
+        if service is None:
             if wanted and self._is_due(domain):
                 await self._acquire(domain)
             return
-        if not running.owned.is_valid and self.ownership.lease.is_valid:
+        if service.is_lost:
             await self._abandon(domain)
-        elif not wanted or self._should_move(domain):
+            return
+        # Without a valid lease the first instance could not acquire it.
+        is_movable = service.owned.is_valid and self._should_move(domain)
+        if not wanted or is_movable:
             await self._hand_over(domain)
 
     def _note_live_members(self) -> None:
@@ -215,25 +221,24 @@
             await service.abandon()
             await self.ownership.release(owned)
             return
-        self._running[domain] = _Running(owned=owned, service=service)
+        self._running[domain] = service
         self._unowned_since_s.pop(domain, None)
         observability.log_state_change(
             "domain", state="owned", domain=domain, epoch=owned.epoch
         )
 
     async def _hand_over(self, domain: str) -> None:
-        running = self._running.pop(domain)
-        await running.service.stop()
-        await self.ownership.release(running.owned)
+        service = self._running.pop(domain)
+        await service.stop()
+        await self.ownership.release(service.owned)
         observability.log_state_change(
             "domain", state="handed-over", domain=domain
         )
-        message = Handover(domain=domain, epoch=running.owned.epoch)
+        message = Handover(domain=domain, epoch=service.owned.epoch)
         await self.network.broadcast(message)
 
     async def _abandon(self, domain: str) -> None:
-        running = self._running.pop(domain)
-        await running.service.abandon()
+        await self._running.pop(domain).abandon()
         observability.log_state_change(
             "domain", state="abandoned", domain=domain
         )
--- a/magnoliaglade/platform/worker.py
+++ b/magnoliaglade/platform/worker.py
@@ -25,8 +25,8 @@
 
 __all__ = [
     "CommitRequest",
-    "ReservationReply",
     "RenewRequest",
+    "ReservationReply",
     "ReserveRequest",
     "StaleEpochError",
     "TaskCommand",
--- a/magnoliaglade/scheduling/__init__.py
+++ b/magnoliaglade/scheduling/__init__.py
@@ -3,6 +3,15 @@
 from magnoliaglade.scheduling._cells import GuaranteeLedger, bind_guarantees
 from magnoliaglade.scheduling._cells_policy import CellsPolicy
 from magnoliaglade.scheduling._errors import InvalidPlanError, SchedulingError
+from magnoliaglade.scheduling._estimators import (
+    MemoryAction,
+    MemoryEstimator,
+    MemoryReport,
+    Observation,
+    QuantileEstimator,
+    RunTimeEstimator,
+    memory_action,
+)
 from magnoliaglade.scheduling._feasibility import feasible_zones
 from magnoliaglade.scheduling._first_fit import FirstFitPolicy
 from magnoliaglade.scheduling._model import (
@@ -35,13 +44,19 @@
     "GuaranteeLedger",
     "GuaranteedCells",
     "InvalidPlanError",
+    "MemoryAction",
+    "MemoryEstimator",
+    "MemoryReport",
+    "Observation",
     "Placement",
     "Plan",
     "Policy",
     "Priority",
+    "QuantileEstimator",
     "Refusal",
     "RefusalReason",
     "Reservation",
+    "RunTimeEstimator",
     "RunningGang",
     "SchedulingError",
     "Shape",
@@ -51,4 +66,5 @@
     "bind_guarantees",
     "decide",
     "feasible_zones",
+    "memory_action",
 ]
