Test owners that are killed, paused or cut off

Cause: the promises must hold for an owner that fails at any point. Change: tests kill the owner before and after every worker call and store write of submission, launch, cancellation and stop and at each launch step, pause it across a takeover, cut workers off from the successor only, and bring about outages and lost answers of every record.

--- /dev/null
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -0,0 +1,322 @@
+"""Tests of owners that are killed, paused or cut off from the store."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from magnoliaglade import execution
+from magnoliaglade import store as store_lib
+from magnoliaglade.execution.tests import harness
+from magnoliaglade.types import JobId
+
+PHASE = execution.JobPhase
+# A takeover is complete 5 s after the owner failed, and the slowest start or
+# restart afterwards waits for a lease of 20 s and a backoff.
+SETTLE_S = 45.0
+
+
+async def run_script(node, script, *, at_most_once):
+    """Runs commands as a caller does; returns the acknowledged ones."""
+    done = []
+    clock = node.cluster.clock
+    for command in script:
+        if command == "submit":
+            spec = harness.make_spec("j", tasks=4, at_most_once=at_most_once)
+            call = node.owner.submit(spec)
+        else:
+            call = node.owner.cancel(JobId("j"))
+        task = asyncio.create_task(call)
+        await clock.advance(3)
+        with contextlib.suppress(execution.ExecutionError):
+            await task
+            done.append(command)
+    await clock.advance(7)
+    return done
+
+
+async def count_effects(script, *, at_most_once):
+    cluster = harness.Cluster()
+    node = harness.Node(cluster, "a")
+    await node.own()
+    before = node.fuse.count
+    await run_script(node, script, at_most_once=at_most_once)
+    effects = node.fuse.count - before
+    await node.close()
+    return effects
+
+
+async def check_kill(script, limit, *, at_most_once):
+    """Kills the owner after `limit` effects and checks the promises."""
+    cluster = harness.Cluster()
+    old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+    await old.own()
+    old.fuse.limit = old.fuse.count + limit
+    done = await run_script(old, script, at_most_once=at_most_once)
+    await old.close()
+    await new.own()
+    await cluster.clock.advance(SETTLE_S)
+    entry = new.owner.jobs.get(JobId("j"))
+    running = cluster.running("j")
+    # A kill in the middle of the confirmation leaves confirmed members until
+    # the successor fences them: 5 s of takeover and the 7 s of the script.
+    assert cluster.partial_s("j", tasks=4) <= 3.0 + 7.0 + 5.0
+    assert len(running) in (0, 4)
+    assert not cluster.overlaps("j")
+    assert "submit" not in done or entry is not None
+    if "cancel" in done:
+        assert entry.phase is PHASE.CANCELLED
+    if entry is None or entry.phase.is_terminal:
+        assert running == []
+    elif not at_most_once:
+        assert len(running) == 4
+    if at_most_once:
+        assert len(cluster.attempts("j")) <= 1
+        assert entry is None or entry.phase is not PHASE.PENDING
+    await new.close()
+
+
+class TestKilledOwner:
+    @pytest.mark.parametrize("at_most_once", [False, True])
+    @pytest.mark.parametrize(
+        "script", [("submit",), ("submit", "cancel")], ids="-".join
+    )
+    async def test_kill_at_every_effect(self, script, at_most_once):
+        """Guards every promise of an owner that fails at any point.
+
+        The points are before and after each call of a worker and each write
+        to the store, in submission, launch, renewal, cancellation and stop.
+        """
+        effects = await count_effects(script, at_most_once=at_most_once)
+        assert effects >= 20
+        for limit in range(effects + 1):
+            await check_kill(script, limit, at_most_once=at_most_once)
+
+    @pytest.mark.parametrize("at_most_once", [False, True])
+    @pytest.mark.parametrize("step", execution.LaunchStep)
+    async def test_kill_at_each_step(self, step, at_most_once):
+        """Guards against a partial gang or a second start after a kill."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+
+        async def on_step(current, _):
+            if current is step:
+                old.kill()
+
+        await old.own(on_step=on_step)
+        spec = harness.make_spec("j", tasks=4, at_most_once=at_most_once)
+        await old.owner.submit(spec)
+        await cluster.clock.advance(1)
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(SETTLE_S)
+        assert cluster.partial_s("j", tasks=4) <= 3.0
+        assert not cluster.overlaps("j")
+        entry = new.owner.status("j")
+        if at_most_once:
+            assert len(cluster.attempts("j")) <= 1
+            is_running = len(cluster.running("j")) == 4
+            assert is_running == (entry.phase is PHASE.ACTIVE)
+        else:
+            assert len(cluster.running("j")) == 4
+        await new.close()
+
+    async def test_running_gang_is_adopted(self):
+        """Guards against a restart of work that runs whole."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(harness.make_spec("j", tasks=4))
+        await cluster.clock.advance(7)
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(60)
+        assert {r.attempt for r in cluster.running("j")} == {1}
+        assert len(cluster.runs("j")) == 4
+        await new.close()
+
+    async def test_result_outlives_the_owner(self):
+        """Guards against a finished job that runs again."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        spec = harness.make_spec("j", tasks=4, command=("sleep", "3"))
+        await old.owner.submit(spec)
+        await cluster.clock.advance(1)
+        await old.close()
+        await cluster.clock.advance(10)
+        await new.own()
+        await cluster.clock.advance(2)
+        assert new.phase("j") is PHASE.FINISHED
+        assert len(cluster.runs("j")) == 4
+        await new.close()
+
+    async def test_graceful_handover(self):
+        """Guards against a planned stop that interrupts running tasks."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(harness.make_spec("j", tasks=4))
+        await asyncio.sleep(0)
+        await old.owner.stop()
+        with pytest.raises(execution.NotRunError):
+            await old.owner.submit(harness.make_spec("k"))
+        before_s = cluster.clock.now()
+        await new.own()
+        assert cluster.clock.now() == before_s
+        await cluster.clock.advance(30)
+        assert len(cluster.runs("j")) == 4
+        assert len(cluster.running("j")) == 4
+        assert new.owner.jobs.get(JobId("k")) is None
+        await new.close()
+        await old.close()
+
+
+class TestTwoOwners:
+    async def test_paused_owner_does_nothing_after_its_successor(self):
+        """Guards against starts, stops and records of a paused owner."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(harness.make_spec("j"))
+        await cluster.clock.advance(3)
+        # The pause: no renewal of the lease, and none of the loops run.
+        old.lease._task.cancel()
+        await old.owner.abandon()
+        await new.own()
+        await cluster.clock.advance(1)
+        # It believes that its lease is valid when it wakes up.
+        now_s = cluster.clock.now()
+        old.lease._held = store_lib._lease._Held(
+            lease=old.owner.owned.lease, valid_until_s=now_s + 100
+        )
+        entry = old.owner.jobs.get(JobId("j"))
+        term = old.owner._term
+        gang = term.attempts.renewal.gangs[JobId("j")]
+        term.attempts.end(gang, execution.FailureCause.EVICTED)
+        await cluster.clock.advance(1)
+        assert old.owner.is_lost
+        old.owner._is_lost = False
+        with pytest.raises(execution.NotRunError):
+            await old.owner.submit(harness.make_spec("k"))
+        with pytest.raises(execution.NotRunError):
+            await old.owner.cancel(entry.job)
+        await cluster.clock.advance(10)
+        assert len(cluster.running("j")) == 2
+        assert new.phase("j") is PHASE.ACTIVE
+        assert new.owner.jobs.get(JobId("k")) is None
+        await new.close()
+        await old.close()
+
+    @pytest.mark.parametrize("at_most_once", [False, True])
+    async def test_worker_reachable_for_the_old_owner_only(self, at_most_once):
+        """Guards against two runs of a gang whose worker the new owner lost."""
+        cluster = harness.Cluster(workers=4)
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(
+            harness.make_spec("j", tasks=4, at_most_once=at_most_once)
+        )
+        await cluster.clock.advance(3)
+        old.store.is_down = True
+        for link in new.links.values():
+            link.is_cut = True
+        await new.own()
+        for name in ("w2", "w3"):
+            new.links[name].is_cut = False
+        await cluster.clock.advance(60)
+        assert not cluster.overlaps("j")
+        assert len(cluster.attempts("j")) == (1 if at_most_once else 2)
+        assert new.phase("j") is (
+            PHASE.FAILED if at_most_once else PHASE.ACTIVE
+        )
+        await new.close()
+        await old.close()
+
+
+class TestStoreOutage:
+    @pytest.mark.parametrize("has_grants", [False, True])
+    async def test_accepted_jobs_start_only_under_grants(self, has_grants):
+        """Guards against a start without permission or record."""
+        cluster = harness.Cluster()
+        node = harness.Node(cluster, "a")
+        node.startable = frozenset()
+        await node.own()
+        await node.owner.submit(harness.make_spec("j"))
+        await node.owner.submit(harness.make_spec("once", at_most_once=True))
+        node.store.is_down, node.has_grants = True, has_grants
+        await cluster.clock.advance(5)
+        node.startable = frozenset({harness.ZONE})
+        with pytest.raises(execution.NotRunError):
+            await node.owner.submit(harness.make_spec("new"))
+        await cluster.clock.advance(30)
+        assert len(cluster.running("j")) == (2 if has_grants else 0)
+        assert cluster.runs("once") == []
+        node.store.is_down = False
+        await cluster.clock.advance(30)
+        assert len(cluster.running("j")) == 2
+        assert len(cluster.attempts("j")) == 1
+        assert len(cluster.running("once")) == 2
+        with pytest.raises(execution.UnknownJobError):
+            node.phase("new")
+        await node.close()
+        successor = harness.Node(cluster, "b")
+        await successor.own()
+        assert successor.phase("j") is PHASE.ACTIVE
+        await cluster.clock.advance(10)
+        assert len(cluster.runs("j")) == 2
+        await successor.close()
+
+    async def test_successor_adopts_an_unrecorded_gang(self):
+        """Guards against a second start of a gang started under grants."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        old.startable = frozenset()
+        await old.own()
+        await old.owner.submit(harness.make_spec("j"))
+        old.store.is_down = old.has_grants = True
+        old.startable = frozenset({harness.ZONE})
+        await cluster.clock.advance(8)
+        assert len(cluster.running("j")) == 2
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(30)
+        assert len(cluster.runs("j")) == 2
+        assert new.phase("j") is PHASE.ACTIVE
+        await new.close()
+
+    @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests"])
+    @pytest.mark.parametrize("write", range(8))
+    @pytest.mark.parametrize("count", [1, 4])
+    async def test_fault_of_each_record(self, fault, write, count):
+        """Guards against a record that is lost or applied twice."""
+        cluster = harness.Cluster()
+        node = harness.Node(cluster, "a")
+        await node.own()
+        puts = {"count": 0}
+        put = node.store.put
+
+        async def faulty_put(*args, **options):
+            if puts["count"] == write:
+                setattr(node.store, fault, count)
+            puts["count"] += 1
+            return await put(*args, **options)
+
+        node.store.put = faulty_put
+        call = node.owner.submit(
+            harness.make_spec("j", command=("fail", "2"), tasks=1)
+        )
+        task = asyncio.create_task(call)
+        await cluster.clock.advance(5)
+        with contextlib.suppress(execution.OutcomeUnknownError):
+            await task
+        await cluster.clock.advance(100)
+        assert node.phase("j") is PHASE.FAILED
+        assert not cluster.overlaps("j")
+        assert node.owner.status("j").failures == 4
+        successor = harness.Node(cluster, "b")
+        await node.close()
+        await successor.own()
+        assert successor.phase("j") is PHASE.FAILED
+        assert successor.owner.status("j").failures == 4
+        await successor.close()
