Add the gateway with authentication and answer matching

Change: Gateway takes a request through authentication, limits, admission, claim, dispatch with retries, and outcome. The deadline goes with the request. stop() drains; stop(force=True) answers each caller with what is true of its request at that moment. Answers that are late, duplicate, truncated or of another request are dropped and counted. NotRun.covers_key tells whether the refusal holds for the idempotency key or only for this attempt.

--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -1,5 +1,7 @@
 """Requests: claims on non-idempotent requests and the gateway."""
 
+from magnoliaglade.requests._answers import AnswerMatcher
+from magnoliaglade.requests._auth import authenticate
 from magnoliaglade.requests._claim_messages import (
     CLAIM_PARTITIONS,
     ClaimAck,
@@ -28,8 +30,17 @@
     RefusedError,
     RequestError,
 )
+from magnoliaglade.requests._gateway import Gateway, GatewayState
+from magnoliaglade.requests._outcome import (
+    CallerRequest,
+    NotRun,
+    Outcome,
+    Ran,
+    Unknown,
+)
 from magnoliaglade.requests.base import (
     Admission,
+    ConfigurationSource,
     Dispatcher,
     RetryPolicy,
     UpstreamRequest,
@@ -43,7 +54,9 @@
     "CLAIM_PARTITIONS",
     "CLAIM_RETENTION_S",
     "Admission",
+    "AnswerMatcher",
     "AuthenticationError",
+    "CallerRequest",
     "ClaimAck",
     "ClaimDecision",
     "ClaimOutcome",
@@ -55,16 +68,24 @@
     "ClaimState",
     "ClaimStatus",
     "ClaimsClient",
+    "ConfigurationSource",
     "Dispatcher",
+    "Gateway",
+    "GatewayState",
+    "NotRun",
     "NotSentError",
+    "Outcome",
     "OutcomeUnknownError",
+    "Ran",
     "RefusedError",
     "ReplyState",
     "RequestError",
     "RetryPolicy",
+    "Unknown",
     "UpstreamRequest",
     "UpstreamResponse",
     "ViewSource",
+    "authenticate",
     "digest_body",
     "digest_key",
     "partition_of",
--- a/magnoliaglade/requests/base.py
+++ b/magnoliaglade/requests/base.py
@@ -4,11 +4,13 @@
 import dataclasses
 from typing import Protocol
 
+from magnoliaglade import configuration as configuration_lib
 from magnoliaglade import membership
 from magnoliaglade.types import AccountId, RequestId
 
 __all__ = [
     "Admission",
+    "ConfigurationSource",
     "Dispatcher",
     "RetryPolicy",
     "UpstreamRequest",
@@ -109,6 +111,14 @@
         """
 
 
+class ConfigurationSource(Protocol):
+    """Source of the configuration in effect."""
+
+    @property
+    def configuration(self) -> configuration_lib.Configuration:
+        """The newest revision that this instance holds."""
+
+
 class ViewSource(Protocol):
     """Source of the current membership view."""
 
--- a/magnoliaglade/requests/tests/claim_cluster.py
+++ b/magnoliaglade/requests/tests/claim_cluster.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import collections
+import contextlib
+import hashlib
 
 from magnoliaglade import clock as clock_lib
+from magnoliaglade import configuration as configuration_lib
 from magnoliaglade import membership, peers, requests, standins
 from magnoliaglade import store as store_lib
 from magnoliaglade.types import (
@@ -11,19 +14,29 @@
     IdempotencyKey,
     InstanceId,
     RequestId,
+    Revision,
     ZoneId,
 )
 
-STORE_CALLS = frozenset(
-    (
-        "get",
-        "list_prefix",
-        "put",
-        "delete",
-        "grant_lease",
-        "renew_lease",
-        "revoke_lease",
-    )
+CONFIGURATION = configuration_lib.Configuration(
+    revision=Revision(1),
+    accounts=(
+        configuration_lib.AccountConfig(
+            account=AccountId("acme"),
+            key_digest=hashlib.sha256(b"secret").hexdigest(),
+        ),
+    ),
+    services=(
+        configuration_lib.ServiceConfig(
+            service="render",
+            kinds=(
+                configuration_lib.RequestKind(
+                    name="reprint", idempotent=False, deadline_s=10.0
+                ),
+                configuration_lib.RequestKind(name="proof", idempotent=True),
+            ),
+        ),
+    ),
 )
 
 
@@ -61,16 +74,16 @@
         return result
 
 
-class CrashingStore:
-    def __init__(self, store, crashes, instance):
-        self.store, self.crashes, self.instance = store, crashes, instance
+class Crossing:
+    """Delegates async methods; the instance may die at each call."""
+
+    def __init__(self, target, crashes, instance):
+        self.target, self.crashes, self.instance = target, crashes, instance
 
     def __getattr__(self, name):
-        if name not in STORE_CALLS:
-            raise AttributeError(name)
+        method = getattr(self.target, name)
 
         async def call(*args, **options):
-            method = getattr(self.store, name)
             return await self.crashes.around(
                 self.instance, method(*args, **options)
             )
@@ -92,14 +105,69 @@
         return await self.crashes.around(self.instance, call)
 
 
+class Upstream:
+    """Runs requests and counts the runs by request id and by body.
+
+    Attributes:
+        delay_s: time that a run takes.
+        failures: raised in turn; OutcomeUnknownError only after a run.
+        changes: fields of the coming answers that differ from correct ones.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.runs = collections.Counter()
+        self.delay_s = 0.0
+        self.failures = []
+        self.changes = {}
+
+    async def dispatch(self, request):
+        failure = self.failures.pop(0) if self.failures else None
+        if isinstance(failure, requests.NotSentError):
+            raise failure
+        self.runs[request.request_id] += 1
+        self.runs[request.body] += 1
+        if self.delay_s:
+            await self.clock.sleep(self.delay_s)
+        if failure:
+            raise failure
+        fields = {
+            "status": 200,
+            "body": b"printed",
+            "request_id": request.request_id,
+        }
+        return requests.UpstreamResponse(**{**fields, **self.changes})
+
+
+class Admission:
+    def __init__(self):
+        self.refusal = None
+
+    @contextlib.asynccontextmanager
+    async def admit(self, account, *, deadline_s):
+        if self.refusal:
+            raise requests.RefusedError(self.refusal)
+        yield
+
+
+class Retries:
+    """Two retries after 0.1 s each."""
+
+    def record_request(self):
+        pass
+
+    def next_delay_s(self, attempt, *, deadline_s):
+        return 0.1 if attempt < 3 else None
+
+
 class Node:
-    """One entry instance: lease, claim service and claims client."""
+    """One entry instance: lease, claim service, claims client, gateway."""
 
     def __init__(self, cluster, name):
         self.instance = InstanceId(name)
         clock, crashes = cluster.clock, cluster.crashes
         self.faults = standins.FaultyStore(store=cluster.memory, clock=clock)
-        store = CrashingStore(self.faults, crashes, self.instance)
+        store = Crossing(self.faults, crashes, self.instance)
         self.network = CrashingPeers(
             hub=cluster.hub, instance=self.instance, crashes=crashes
         )
@@ -120,12 +188,24 @@
             service=self.service,
             incarnation="1",
         )
+        self.admission = Admission()
+        self.gateway = requests.Gateway(
+            clock=clock,
+            instance=self.instance,
+            configurations=cluster,
+            admission=self.admission,
+            claims=self.client,
+            dispatcher=Crossing(cluster.upstream, crashes, self.instance),
+            retries=Retries(),
+        )
 
     async def start(self):
         await self.lease.start()
         await self.service.start()
+        await self.gateway.start()
 
     async def stop(self):
+        await self.gateway.stop()
         await self.client.stop()
         await self.service.stop()
         await self.lease.stop()
@@ -138,9 +218,11 @@
         self.memory = store_lib.InMemoryStore(clock=self.clock)
         self.hub = peers.LocalHub(clock=self.clock)
         self.crashes = Crashes(self.hub)
-        self.runs = collections.Counter()
+        self.upstream = Upstream(self.clock)
         self.nodes = {n: Node(self, n) for n in names}
 
+    configuration = CONFIGURATION
+
     @property
     def view(self):
         members = tuple(
@@ -188,11 +270,27 @@
         )
         return spec, asyncio.create_task(call)
 
-    async def claim(self, name, key, request_id, *, wait_s=11.0, **options):
+    def send(self, name, key, /, *, kind="reprint", **fields):
+        """Starts a request through an instance; its body repeats the key."""
+        request = requests.CallerRequest(
+            **{
+                "service": "render",
+                "kind": kind,
+                "authorization": "Bearer acme:secret",
+                "body": key.encode(),
+                "key": key,
+                **fields,
+            }
+        )
+        return asyncio.create_task(self.nodes[name].gateway.handle(request))
+
+    async def claim(self, name, key, request_id, **options):
         spec, task = self.ask(name, key, request_id, **options)
-        for _ in range(int(wait_s / 0.05)):
-            if task.done():
-                break
+        return spec, await self.wait(task)
+
+    async def wait(self, task, wait_s=12.0):
+        """Moves the time until the task is done; returns its result."""
+        end_s = self.clock.now() + wait_s
+        while not task.done() and self.clock.now() < end_s:
             await self.clock.advance(0.05)
-        assert task.done()
-        return spec, task.result()
+        return task.result()
--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -203,6 +203,18 @@
         _, third = await cluster.claim("c", key, "r3", timeout_s=2)
         assert third.status is Status.UNDECIDED
 
+    async def test_lapsed_owner_does_not_grant_a_late_claim(self, cluster):
+        """Guards against a grant by a write that outlasts the lease."""
+        key = cluster.key_owned_by("c")
+        node = cluster.nodes["c"]
+        node.lease._task.cancel()
+        node.faults.delay_s = 3.6
+        _, first = cluster.ask("a", key, "r1")
+        await cluster.clock.advance(3.7)
+        assert len(cluster.partition("c", key).table) == 1
+        assert not first.done()
+        assert not cluster.partition("c", key).may_act
+
 
 class TestCompaction:
     async def test_successor_reads_snapshot(self):
