Add account limiter, deadline queue and retry budget

Cause: one account's burst must not delay another's guarantee, and a request that cannot be answered in time should be refused at once.

--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -25,7 +25,14 @@
     SlotLapsedError,
     UpstreamRefusedError,
 )
+from magnoliaglade.requests._limits import (
+    AccountLimiter,
+    FairQueue,
+    ServiceTimeEstimator,
+    Ticket,
+)
 from magnoliaglade.requests._pool import ConnectionPool
+from magnoliaglade.requests._retries import RetryBudget, backoff_s
 from magnoliaglade.requests._slot_holder import HeldSlot, SlotHolder
 from magnoliaglade.requests._slots import (
     SlotCoordinator,
@@ -37,10 +44,12 @@
 from magnoliaglade.requests._upstreams import UpstreamDirectory
 
 __all__ = [
+    "AccountLimiter",
     "AdmissionRefusedError",
     "Balancer",
     "Candidate",
     "ConnectionPool",
+    "FairQueue",
     "HeldSlot",
     "NoProgressError",
     "NoSlotError",
@@ -50,13 +59,16 @@
     "PowerOfTwoBalancer",
     "RandomBalancer",
     "RequestsError",
+    "RetryBudget",
     "RoundRobinBalancer",
+    "ServiceTimeEstimator",
     "SlotCoordinator",
     "SlotGrant",
     "SlotHolder",
     "SlotLapsedError",
     "SlotRequest",
     "SlotReturn",
+    "Ticket",
     "UpstreamConnection",
     "UpstreamDirectory",
     "UpstreamHealth",
@@ -64,6 +76,7 @@
     "UpstreamRefusedError",
     "UpstreamRequest",
     "UpstreamResponse",
+    "backoff_s",
     "coordinator_of",
     "open_connection",
 ]
