Spread slot demand over eligible upstreams

Cause: requests are admitted before an upstream is chosen, so demand for slots has to be divided among the upstreams by the holder. Change: SlotHolder.spread_demand; a local protocol error while a response is read counts as an unknown outcome; tests of the pool's stop. Conclusion: slots of an upstream that is no longer eligible are let go at the next renewal.

--- a/magnoliaglade/requests/_connection.py
+++ b/magnoliaglade/requests/_connection.py
@@ -161,7 +161,7 @@
         try:
             head = await self._read_head(request)
             body = await self._read_body(request)
-        except (h11.RemoteProtocolError, OSError) as error:
+        except (h11.ProtocolError, OSError) as error:
             raise _errors.OutcomeUnknownError(repr(error)) from error
         self._finish_cycle(request)
         return _response(request, head, body, sent_s)
--- a/magnoliaglade/requests/_slot_holder.py
+++ b/magnoliaglade/requests/_slot_holder.py
@@ -4,10 +4,10 @@
 import collections
 import dataclasses
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
-from magnoliaglade import base, peers
+from magnoliaglade import base, membership, peers
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.requests import _errors, _slots
 from magnoliaglade.types import UpstreamId
@@ -155,6 +155,31 @@
         if grows:
             self._call(upstream)
 
+    def spread_demand(
+        self, count: int, upstreams: Sequence[UpstreamId]
+    ) -> None:
+        """Wants `count` slots in all, spread over `upstreams`.
+
+        What does not divide goes to upstreams with leased slots first, then in
+        an order that differs between instances, so that a few requests per
+        instance do not all ask for the same upstream. Slots of other
+        upstreams are let go.
+        """
+        for upstream in set(self._leases) - set(upstreams):
+            self.set_demand(upstream, 0)
+        if not upstreams:
+            return
+        rank = {
+            u: n
+            for n, u in enumerate(
+                membership.rendezvous_order(self.network.instance, upstreams)
+            )
+        }
+        order = sorted(upstreams, key=lambda u: (-self.leased(u), rank[u]))
+        each, extra = divmod(count, len(order))
+        for n, upstream in enumerate(order):
+            self.set_demand(upstream, each + (n < extra))
+
     def try_acquire(self, upstream: UpstreamId) -> HeldSlot | None:
         """Returns a free slot, or None."""
         if self.free(upstream) == 0:
--- a/magnoliaglade/requests/tests/test_pool.py
+++ b/magnoliaglade/requests/tests/test_pool.py
@@ -140,3 +140,18 @@
             pool.port = 1
             with pytest.raises(requests.UpstreamRefusedError):
                 await pool.exchange(make_request(clock))
+
+    async def test_stop_waits_for_requests_in_flight(self):
+        """Guards against a planned stop that interrupts a request."""
+        async with running() as (clock, upstream, pool):
+            upstream.silent = {0}
+            call = asyncio.ensure_future(pool.exchange(make_request(clock)))
+            await until(lambda: len(upstream.seen) == 1)
+            stop = asyncio.ensure_future(pool.stop())
+            await clock.advance(1)
+            assert not stop.done()
+            assert not call.done()
+            with pytest.raises(requests.NotSentError):
+                await pool.exchange(make_request(clock))
+            call.cancel()
+            await stop
--- a/magnoliaglade/requests/tests/test_slots.py
+++ b/magnoliaglade/requests/tests/test_slots.py
@@ -253,3 +253,17 @@
         await cluster.run(6, lagging=NAMES)
         assert cluster.leased() == 0
         await cluster.stop()
+
+    async def test_spread_demand_follows_eligible_upstreams(self):
+        """Guards against slots kept on an upstream that is out of use."""
+        cluster = Cluster(names=("a",))
+        await cluster.start()
+        await cluster.run(8)
+        holder = cluster.all["a"].holder
+        holder.spread_demand(5, [UpstreamId("v"), U])
+        await cluster.run(2)
+        assert holder.leased(U) == 3
+        holder.spread_demand(5, [UpstreamId("v")])
+        await cluster.run(2)
+        assert holder.leased(U) == 0
+        await cluster.stop()
