--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -1,5 +1,6 @@
 """Requests: claims on non-idempotent requests and the gateway."""
 
+from magnoliaglade.requests._admission import BudgetedRetries, SlotAdmission
 from magnoliaglade.requests._answers import AnswerMatcher
 from magnoliaglade.requests._auth import authenticate
 from magnoliaglade.requests._claim_messages import (
@@ -23,6 +24,7 @@
     ClaimSpec,
     ClaimStatus,
 )
+from magnoliaglade.requests._dispatch import UpstreamDispatcher
 from magnoliaglade.requests._errors import (
     AuthenticationError,
     NotSentError,
@@ -31,6 +33,12 @@
     RequestError,
 )
 from magnoliaglade.requests._gateway import Gateway, GatewayState
+from magnoliaglade.requests._limits import (
+    AccountLimiter,
+    FairQueue,
+    ServiceTimeEstimator,
+    Ticket,
+)
 from magnoliaglade.requests._outcome import (
     CallerRequest,
     NotRun,
@@ -38,6 +46,7 @@
     Ran,
     Unknown,
 )
+from magnoliaglade.requests._retries import RetryBudget, backoff_s
 from magnoliaglade.requests.base import (
     Admission,
     ConfigurationSource,
@@ -53,9 +62,11 @@
     "CLAIM_FLUSH_S",
     "CLAIM_PARTITIONS",
     "CLAIM_RETENTION_S",
+    "AccountLimiter",
     "Admission",
     "AnswerMatcher",
     "AuthenticationError",
+    "BudgetedRetries",
     "CallerRequest",
     "ClaimAck",
     "ClaimDecision",
@@ -70,6 +81,7 @@
     "ClaimsClient",
     "ConfigurationSource",
     "Dispatcher",
+    "FairQueue",
     "Gateway",
     "GatewayState",
     "NotRun",
@@ -80,12 +92,18 @@
     "RefusedError",
     "ReplyState",
     "RequestError",
+    "RetryBudget",
     "RetryPolicy",
+    "ServiceTimeEstimator",
+    "SlotAdmission",
+    "Ticket",
     "Unknown",
+    "UpstreamDispatcher",
     "UpstreamRequest",
     "UpstreamResponse",
     "ViewSource",
     "authenticate",
+    "backoff_s",
     "digest_body",
     "digest_key",
     "partition_of",
--- a/magnoliaglade/requests/_dispatch.py
+++ b/magnoliaglade/requests/_dispatch.py
@@ -8,14 +8,13 @@
 import asyncio
 import contextlib
 import dataclasses
-import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 from magnoliaglade import base as root_base
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import kernel, upstreams
+from magnoliaglade import kernel, membership, peers, upstreams
 from magnoliaglade.platform import instance_list as instance_list_lib
 from magnoliaglade.requests import _errors, base
 from magnoliaglade.types import UpstreamId, ZoneId
@@ -30,10 +29,19 @@
     """What is kept for one service."""
 
     directory: upstreams.UpstreamDirectory
+    holder: upstreams.SlotHolder
     ejector: upstreams.OutlierEjector
     loads: upstreams.UpstreamLoads
     balancer: upstreams.Balancer
 
+    @property
+    def leased(self) -> int:
+        """Slots under a valid lease, on all upstreams together."""
+        return sum(
+            self.holder.leased(UpstreamId(x.instance))
+            for x in self.directory.listed()
+        )
+
 
 class UpstreamDispatcher(root_base.Component):
     """See `requests.Dispatcher`.
@@ -50,7 +58,8 @@
         *,
         clock: clock_lib.Clock,
         instance_list: instance_list_lib.InstanceList,
-        holder: upstreams.SlotHolder,
+        network: peers.PeerNetwork,
+        view: Callable[[], membership.View],
         zone: ZoneId,
         zones: Callable[[], frozenset[ZoneId]],
         services: Callable[[], frozenset[str]],
@@ -61,7 +70,8 @@
     ) -> None:
         self.clock = clock
         self.instance_list = instance_list
-        self.holder = holder
+        self.network = network
+        self.view = view
         self.zone = zone
         self.zones = zones
         self.services = services
@@ -71,22 +81,21 @@
         self.balancer = balancer
         self._parts: dict[str, ServiceParts] = {}
         self._pools: dict[UpstreamId, upstreams.ConnectionPool] = {}
-        self._wanted: dict[str, int] = {}
         self._changed = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
         self._rng = random.Random(seed)
 
     async def start(self) -> None:
         """Follows the slots; services are added when they are configured."""
         self.validate_params()
-        self.holder.on_change(self._on_change)
         await self.update_services()
 
     async def stop(self) -> None:
-        """Waits for requests in flight, then closes all connections."""
+        """Waits for requests in flight, then returns the slots."""
         await asyncio.gather(*(p.stop() for p in self._pools.values()))
-        await asyncio.gather(
-            *(p.directory.stop() for p in self._parts.values())
-        )
+        for parts in self._parts.values():
+            await parts.directory.stop()
+            await parts.holder.stop()
 
     def dump(self) -> dict[str, Any]:
         """Returns eligibility, ejections and connections by upstream."""
@@ -99,10 +108,14 @@
         """Starts and stops directories so that they match the services."""
         wanted = self.services()
         for name in set(self._parts) - wanted:
-            await self._parts.pop(name).directory.stop()
+            parts = self._parts.pop(name)
+            await parts.directory.stop()
+            await parts.holder.stop()
         for name in sorted(wanted - set(self._parts)):
             parts = self._make_parts(name)
             self._parts[name] = parts
+            parts.holder.on_change(self._on_change)
+            await parts.holder.start()
             await parts.directory.start()
 
     def describe(self) -> list[dict[str, Any]]:
@@ -119,6 +132,32 @@
             for listed in parts.directory.listed()
         ]
 
+    def on_slots(self, listener: Callable[[], None]) -> None:
+        """Registers a callback for granted or released slots."""
+        self._listeners.append(listener)
+
+    def leased(self, service: str) -> int:
+        """Returns the slots of a service that this instance holds now."""
+        parts = self._parts.get(service)
+        return parts.leased if parts else 0
+
+    def fair_share(self, service: str) -> int:
+        """Returns the slots of a service divided by the instances."""
+        parts = self._parts.get(service)
+        if parts is None:
+            return 0
+        total = self.slots(service) * len(self._usable(parts))
+        return total // max(1, len(self.view().members))
+
+    def set_wanted(self, service: str, count: int) -> None:
+        """Asks for `count` slots of a service in all."""
+        parts = self._parts.get(service)
+        if parts is None:
+            return
+        usable = [UpstreamId(x.instance) for x in self._usable(parts)]
+        limit = self.slots(service) * len(usable)
+        parts.holder.spread_demand(min(count, limit), usable)
+
     def slots_by_upstream(self) -> dict[UpstreamId, int]:
         """Returns the slots of every listed upstream."""
         return {
@@ -134,8 +173,7 @@
         parts = self._parts.get(request.service)
         if parts is None:
             raise _errors.NotSentError(f"no upstreams of {request.service}")
-        with self._demand(request.service, parts):
-            slot = await self._acquire_slot(parts, request.deadline_s)
+        slot = await self._acquire_slot(parts, request.deadline_s)
         try:
             return await self._exchange(parts, slot, request)
         except upstreams.NotSentError as error:
@@ -153,6 +191,9 @@
                 service=service,
                 prober=lambda listed: self._pool(service, listed).probe(),
             ),
+            holder=upstreams.SlotHolder(
+                network=self.network, clock=self.clock, view=self.view
+            ),
             ejector=upstreams.OutlierEjector(clock=self.clock),
             loads=upstreams.UpstreamLoads(clock=self.clock),
             balancer=kernel.create(
@@ -189,30 +230,6 @@
         )
         return [x for x in allowed if x.instance in healthy]
 
-    @contextlib.contextmanager
-    def _demand(self, service: str, parts: ServiceParts) -> Iterator[None]:
-        """Counts a waiting request towards the demand for slots."""
-        self._wanted[service] = self._wanted.get(service, 0) + 1
-        self._spread_demand(service, parts)
-        try:
-            yield
-        finally:
-            self._wanted[service] -= 1
-            self._spread_demand(service, parts)
-
-    def _spread_demand(self, service: str, parts: ServiceParts) -> None:
-        """Asks for as many slots as requests, spread over the upstreams."""
-        usable = {UpstreamId(x.instance) for x in self._usable(parts)}
-        in_use = {u: self._in_use(parts, u) for u in usable}
-        total = self._wanted[service] + sum(in_use.values())
-        each = math.ceil(total / len(usable)) if usable else 0
-        for listed in parts.directory.listed():
-            upstream = UpstreamId(listed.instance)
-            demand = 0
-            if upstream in usable:
-                demand = min(max(each, in_use[upstream]), self.slots(service))
-            self.holder.set_demand(upstream, demand)
-
     async def _acquire_slot(
         self, parts: ServiceParts, deadline_s: float
     ) -> upstreams.HeldSlot:
@@ -234,12 +251,12 @@
         pairs = [
             (UpstreamId(x.instance), x.zone)
             for x in self._usable(parts)
-            if self.holder.free(UpstreamId(x.instance)) > 0
+            if parts.holder.free(UpstreamId(x.instance)) > 0
         ]
         if not pairs:
             return None
         chosen = parts.balancer.choose(parts.loads.candidates(pairs))
-        return self.holder.try_acquire(chosen)
+        return parts.holder.try_acquire(chosen)
 
     async def _exchange(
         self,
@@ -316,6 +333,8 @@
 
     def _on_change(self) -> None:
         self._changed.set()
+        for listener in self._listeners:
+            listener()
 
 
 def _answer(response: upstreams.ExchangeResponse) -> base.UpstreamResponse:
--- a/magnoliaglade/requests/_gateway.py
+++ b/magnoliaglade/requests/_gateway.py
@@ -203,9 +203,7 @@
     async def _admit(self, flight: _Flight) -> _outcome.Outcome:
         request = flight.request
         try:
-            async with self.admission.admit(
-                request.account, deadline_s=request.deadline_s
-            ):
+            async with self.admission.admit(request):
                 if flight.spec is None:
                     return await self._dispatch(flight)
                 return await self._claim(flight, flight.spec)
--- a/magnoliaglade/requests/base.py
+++ b/magnoliaglade/requests/base.py
@@ -71,13 +71,11 @@
     """Limits the requests of each account that are in progress."""
 
     def admit(
-        self, account: AccountId, *, deadline_s: float
+        self, request: UpstreamRequest
     ) -> contextlib.AbstractAsyncContextManager[None]:
         """Returns a context that holds a place for one request.
 
-        Args:
-            account: the authenticated client account.
-            deadline_s: on the monotonic clock; no place is given after it.
+        No place is given after the request's deadline.
 
         Raises:
             RefusedError: on entering the context.
--- a/magnoliaglade/requests/tests/claim_cluster.py
+++ b/magnoliaglade/requests/tests/claim_cluster.py
@@ -144,7 +144,7 @@
         self.refusal = None
 
     @contextlib.asynccontextmanager
-    async def admit(self, account, *, deadline_s):
+    async def admit(self, request):
         if self.refusal:
             raise requests.RefusedError(self.refusal)
         yield
