--- /dev/null
+++ b/magnoliaglade/daemon/_jobs.py
@@ -0,0 +1,197 @@
+"""Connects the owners of scheduling domains to the rest of the process."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import configuration, execution, membership, scheduling
+from magnoliaglade import platform as platform_lib
+from magnoliaglade import store as store_lib
+from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.types import AccountId, InstanceId, JobId, WorkerId, ZoneId
+
+
+class WorkerFleet:
+    """The listed workers with their clients."""
+
+    def __init__(self, *, inventory: platform_lib.InstanceInventory) -> None:
+        self.inventory = inventory
+        self._clients: dict[str, platform_lib.HttpWorker] = {}
+
+    def workers(
+        self, zone: ZoneId | None = None
+    ) -> dict[WorkerId, scheduling.Worker]:
+        """Returns the listed workers, of one zone if given."""
+        listed = self.inventory.with_role(instance_list_lib.InstanceRole.WORKER)
+        return {
+            WorkerId(w.instance): _worker(w)
+            for w in listed
+            if zone is None or w.zone == zone
+        }
+
+    def client(self, worker: WorkerId) -> worker_lib.WorkerClient:
+        """Returns the client of a listed worker.
+
+        Raises:
+            WorkerUnreachableError: the worker is not listed.
+        """
+        for listed in self.inventory.instances:
+            if listed.instance == worker:
+                return self._client(listed.address)
+        raise worker_lib.WorkerUnreachableError(f"{worker}: is not listed")
+
+    async def stop(self) -> None:
+        """Closes all connections."""
+        for client in self._clients.values():
+            await client.close()
+
+    def _client(self, address: str) -> platform_lib.HttpWorker:
+        client = self._clients.get(address)
+        if client is None:
+            client = platform_lib.HttpWorker(url=f"http://{address}")
+            self._clients[address] = client
+        return client
+
+
+class DomainFactory:
+    """Builds the owner of a domain with its hooks.
+
+    The learned run times are kept per process and feed all owners in it.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        store: store_lib.Store,
+        instance: InstanceId,
+        ownership: store_lib.Ownership,
+        fleet: WorkerFleet,
+        configured: Callable[[], configuration.Configuration | None],
+        startable_zones: Callable[[], frozenset[ZoneId]],
+        removed_zones: Callable[[], frozenset[ZoneId]],
+        outage: membership.OutageGrants,
+        loads: execution.LoadBoard,
+        router: execution.JobRouter,
+    ) -> None:
+        self.clock = clock
+        self.store = store
+        self.instance = instance
+        self.ownership = ownership
+        self.fleet = fleet
+        self.configured = configured
+        self.startable_zones = startable_zones
+        self.removed_zones = removed_zones
+        self.outage = outage
+        self.loads = loads
+        self.router = router
+        self._run_times = scheduling.RunTimeEstimator()
+
+    def make(self, owned: store_lib.Owned) -> execution.DomainOwner:
+        """Returns the owner for a domain that was acquired."""
+        zone = execution.zone_of(owned.domain)
+        return execution.DomainOwner(
+            zone=zone,
+            instance=self.instance,
+            store=self.store,
+            clock=self.clock,
+            ownership=self.ownership,
+            owned=owned,
+            hooks=self._hooks(zone, owned.domain),
+        )
+
+    def _hooks(self, zone: ZoneId, domain: str) -> execution.OwnerHooks:
+        return execution.OwnerHooks(
+            decide=lambda snapshot: scheduling.decide(snapshot, seed=0),
+            workers=lambda: self.fleet.workers(zone),
+            client=self.fleet.client,
+            startable_zones=self.startable_zones,
+            may_act_in_outage=lambda: self.outage.may_act(domain),
+            refine=lambda snapshot: self._refine(snapshot, domain),
+            zone_policy=lambda: self._zone_policy(zone),
+            choose_domain=lambda spec: self.router.choose_domain(
+                spec, exclude=domain
+            ),
+            forward=self.router.forward,
+        )
+
+    def _zone_policy(self, zone: ZoneId) -> configuration.ZonePolicy | None:
+        current = self.configured()
+        if current is None or zone not in self.removed_zones():
+            return None
+        return current.zone_policy
+
+    def _refine(
+        self, snapshot: scheduling.ClusterSnapshot, domain: str
+    ) -> scheduling.ClusterSnapshot:
+        current = self.configured()
+        if current is None:
+            return snapshot
+        gangs = list(snapshot.pending)
+        expected = self._run_times.predict(gangs)
+        return dataclasses.replace(
+            snapshot,
+            guarantees=scheduling.bind_guarantees(current),
+            quotas=self._quotas(current, domain),
+            weights={a.account: a.weight for a in current.accounts},
+            expected_run_s={
+                g.job: s for g, s in zip(gangs, expected, strict=True)
+            },
+        )
+
+    def _quotas(
+        self, current: configuration.Configuration, domain: str
+    ) -> dict[AccountId, int]:
+        """Returns what each account's quota leaves for one domain."""
+        domains = [execution.domain_of(z.zone) for z in current.zones]
+        return {
+            a.account: max(
+                0,
+                a.max_accelerators
+                - self.loads.used_elsewhere(a.account, domain, domains),
+            )
+            for a in current.accounts
+            if a.max_accelerators is not None
+        }
+
+
+def job_row(found: execution.FoundJob) -> dict[str, Any]:
+    """Returns what callers see of a job."""
+    entry = found.entry
+    return {
+        "job": f"{found.domain}/{entry.job}",
+        "account": entry.spec.gang.account,
+        "state": entry.phase.value,
+        "zone": execution.zone_of(found.domain),
+        "attempt": entry.attempt,
+        "tasks": entry.spec.gang.tasks,
+        "workers": dict(entry.placement.assignments) if entry.placement else {},
+        "detail": entry.detail,
+    }
+
+
+def split_job(name: str) -> tuple[str, JobId]:
+    """Returns domain and id of a job's public name; ("", ...) if malformed."""
+    domain, _, job = name.rpartition("/")
+    return domain, JobId(job)
+
+
+def _worker(listed: instance_list_lib.ListedInstance) -> scheduling.Worker:
+    is_leaving = listed.state is instance_list_lib.InstanceState.LEAVING
+    return scheduling.Worker(
+        worker=WorkerId(listed.instance),
+        zone=listed.zone,
+        rack=listed.rack,
+        shape=scheduling.Shape(
+            cores=listed.cores,
+            memory_gb=listed.memory_gb,
+            accelerators=listed.accelerators,
+        ),
+        state=(
+            scheduling.WorkerState.LEAVING
+            if is_leaving
+            else scheduling.WorkerState.AVAILABLE
+        ),
+    )
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -74,17 +74,8 @@
         self._session: http_client.ClientSession | None = None
 
     async def start(self) -> None:
-        """Creates the connection pool; connects on first use."""
+        """Checks the parameters; connects on first use."""
         self.validate_params()
-        self._session = http_client.ClientSession(
-            base_url=self.url,
-            follow_redirects=False,
-            connection_timeout=self.timeout_s,
-            request_timeout=_LIBRARY_TIMEOUT_S,
-            http2=False,
-            max_connection_retries=0,
-            idle_timeout=_IDLE_S,
-        )
 
     async def stop(self) -> None:
         """Closes all connections."""
@@ -118,9 +109,7 @@
             NotSentError: no connection could be made.
             NoAnswerError: no whole answer within the timeout.
         """
-        session = self._session
-        if session is None:
-            raise NotSentError(f"{self.url}: the client is not started")
+        session = self._require_session()
         request = http_client.session.Request(
             method,
             session.get_url(_target(path, query)),
@@ -141,6 +130,19 @@
             # The request may have been sent, whatever broke afterwards.
             raise NoAnswerError(f"{self.url}: {error!r}") from error
 
+    def _require_session(self) -> http_client.ClientSession:
+        if self._session is None:
+            self._session = http_client.ClientSession(
+                base_url=self.url,
+                follow_redirects=False,
+                connection_timeout=self.timeout_s,
+                request_timeout=_LIBRARY_TIMEOUT_S,
+                http2=False,
+                max_connection_retries=0,
+                idle_timeout=_IDLE_S,
+            )
+        return self._session
+
 
 def _target(path: str, query: dict[str, Any] | None) -> str:
     given = {k: v for k, v in (query or {}).items() if v is not None}
--- a/magnoliaglade/http/_server.py
+++ b/magnoliaglade/http/_server.py
@@ -40,7 +40,11 @@
 
 
 class HttpServer(base.Component):
-    """Listens on one address; `stop` finishes requests in flight."""
+    """Listens on one address; `stop` finishes requests in flight.
+
+    A `listener` that is already bound, see `bind`, takes the place of host and
+    port, for servers that have to know their address before they serve.
+    """
 
     _parameter_constraints = {
         "port": [base.Interval(kind=int, low=0, high=65535)],
@@ -51,15 +55,18 @@
         self,
         *,
         application: blacksheep.Application,
-        host: str,
-        port: int,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        listener: socket.socket | None = None,
         stop_timeout_s: float = 30.0,
     ) -> None:
         self.application = application
         self.host = host
         self.port = port
+        self.listener = listener
         self.stop_timeout_s = stop_timeout_s
         self._socket: socket.socket | None = None
+        self._bound_port = 0
         self._server: _Server | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -77,7 +84,7 @@
             HttpServerError: the address cannot be bound.
         """
         self.validate_params()
-        self._socket = _bind(self.host, self.port)
+        self._socket = self.listener or bind(self.host, self.port)
         self._bound_port = self._socket.getsockname()[1]
         config = uvicorn.Config(
             self.application,
@@ -160,7 +167,12 @@
     return b"".join(chunks)
 
 
-def _bind(host: str, port: int) -> socket.socket:
+def bind(host: str, port: int) -> socket.socket:
+    """Returns a socket bound to an address.
+
+    Raises:
+        HttpServerError: the address cannot be bound.
+    """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
--- a/magnoliaglade/membership/__init__.py
+++ b/magnoliaglade/membership/__init__.py
@@ -14,6 +14,7 @@
     GrantRequest,
 )
 from magnoliaglade.membership._heartbeat import Heartbeat, HeartbeatBoard
+from magnoliaglade.membership._outage import OutageGrants
 from magnoliaglade.membership._owners import OwnerDirectory, OwnerRecord
 from magnoliaglade.membership._registry import MemberRegistry
 from magnoliaglade.membership._view import (
@@ -36,6 +37,7 @@
     "HeartbeatBoard",
     "Member",
     "MemberRegistry",
+    "OutageGrants",
     "OwnerDirectory",
     "OwnerRecord",
     "OwnershipCampaign",
--- /dev/null
+++ b/magnoliaglade/membership/_outage.py
@@ -0,0 +1,86 @@
+"""Keeps grants for the owned domains while the store is down."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from magnoliaglade import base
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.membership import _grants, _view
+from magnoliaglade.types import Epoch
+
+# Two further attempts fit into the time of a grant.
+COLLECT_S = 1.0
+
+
+class OutageGrants(base.Component):
+    """Collects grants from a majority for as long as the store is down."""
+
+    _parameter_constraints = {
+        "collect_s": [base.Interval(kind=float, low=0, low_open=True)],
+    }
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        collector: _grants.GrantCollector,
+        owned: Callable[[], dict[str, Epoch]],
+        view: Callable[[], _view.View],
+        store_reachable: Callable[[], bool],
+        collect_s: float = COLLECT_S,
+    ) -> None:
+        self.clock = clock
+        self.collector = collector
+        self.owned = owned
+        self.view = view
+        self.store_reachable = store_reachable
+        self.collect_s = collect_s
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Watches the store in the background."""
+        self.validate_params()
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops collecting; grants end by themselves."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the remaining seconds by domain."""
+        return {d: self.collector.remaining_s(d) for d in sorted(self.owned())}
+
+    def may_act(self, domain: str) -> bool:
+        """Tells whether a majority lets this instance act for a domain."""
+        return self.collector.remaining_s(domain) > 0
+
+    async def may_take_over(self, domain: str) -> bool:
+        """Asks a majority whether the domain may be taken over."""
+        view = self.view()
+        if not view.members:
+            return False
+        return await self.collector.collect(
+            domain=domain,
+            epoch=0,
+            purpose=_grants.GrantPurpose.TAKE_OVER,
+            view=view,
+        )
+
+    async def _run(self) -> None:
+        while True:
+            if not self.store_reachable():
+                await asyncio.gather(
+                    *(self._collect(d, e) for d, e in self.owned().items())
+                )
+            await self.clock.sleep(self.collect_s)
+
+    async def _collect(self, domain: str, epoch: Epoch) -> None:
+        await self.collector.collect(
+            domain=domain,
+            epoch=epoch,
+            purpose=_grants.GrantPurpose.ACT,
+            view=self.view(),
+        )
--- a/magnoliaglade/platform/_http_worker.py
+++ b/magnoliaglade/platform/_http_worker.py
@@ -26,10 +26,6 @@
         self.timeout_s = timeout_s
         self._client = http.HttpClient(url=url, timeout_s=timeout_s)
 
-    async def open(self) -> None:
-        """Prepares the client; connects on first use."""
-        await self._client.start()
-
     async def close(self) -> None:
         """Closes all connections."""
         await self._client.stop()
