Wait for the scripted upstream to end in connection tests

Cause: server sockets of some tests were still open when their event loop was closed, which python -W error reports as a failure. Change: the test context waits until the scripted upstream has ended. Conclusion: the fault was in the tests' stand-in, not in the connection.

--- a/magnoliaglade/requests/tests/test_connection.py
+++ b/magnoliaglade/requests/tests/test_connection.py
@@ -18,6 +18,7 @@
     clock = clock_lib.ManualClock()
     script = list(answers)
     seen = asyncio.Queue()
+    done = asyncio.Event()
 
     async def serve(reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
@@ -29,6 +30,7 @@
                     writer.close()
             await reader.read()
         writer.close()
+        done.set()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -38,6 +40,7 @@
     yield clock, connection, seen
     connection.close()
     server.close()
+    await done.wait()
 
 
 def make_request(clock, **changes):
