Close unowned connections and end waits when the slot holder stops

Cause: a connection made while its caller is cancelled had no owner; waiters of a stopped slot holder were cancelled instead of refused; a full pool closed the newest connection, so the idle ones needed a probe before each use. Change: unowned connections are closed, waiters get NoSlotError, and the oldest idle connection makes room. Conclusion: stopping the holder is not seen as a cancellation by callers.

--- a/magnoliaglade/requests/_connection.py
+++ b/magnoliaglade/requests/_connection.py
@@ -276,14 +276,19 @@
         UpstreamRefusedError: the upstream refused the connection.
         NotSentError: no connection within `timeout_s`.
     """
+    opening = asyncio.ensure_future(asyncio.open_connection(host, port))
+    # A connection that is made while the caller is cancelled has no owner.
+    is_owned = False
     try:
-        reader, writer = await clock.wait_for(
-            asyncio.open_connection(host, port), timeout_s
-        )
+        reader, writer = await clock.wait_for(opening, timeout_s)
+        is_owned = True
     except ConnectionRefusedError as error:
         raise _errors.UpstreamRefusedError(repr(error)) from error
     except (OSError, TimeoutError) as error:
         raise _errors.NotSentError(f"no connection: {error!r}") from error
+    finally:
+        if not is_owned:
+            opening.add_done_callback(_close_unowned)
     _set_timeouts(writer.get_extra_info("socket"))
     return UpstreamConnection(
         reader=reader,
@@ -294,6 +299,11 @@
     )
 
 
+def _close_unowned(opening: asyncio.Future) -> None:
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].transport.abort()
+
+
 def _set_timeouts(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = {
--- a/magnoliaglade/requests/_pool.py
+++ b/magnoliaglade/requests/_pool.py
@@ -287,15 +287,17 @@
     def _keep(
         self, connection: _connection.UpstreamConnection, *, held: int
     ) -> None:
-        """Keeps a connection unless idle and held ones exceed the share."""
+        """Keeps a connection; the oldest idle ones make room in the share."""
         if not connection.is_open:
             return
-        if self._is_stopped or len(self._idle) + held > self.share - 1:
+        if self._is_stopped:
             connection.close()
             return
         self._idle.append(
             _Idle(connection=connection, since_s=self.clock.now())
         )
+        while self._idle and len(self._idle) + held > self.share:
+            self._idle.pop(0).connection.close()
 
     def _suspect_idle(self) -> None:
         """Lets every idle connection be probed before its next use."""
--- a/magnoliaglade/requests/_slot_holder.py
+++ b/magnoliaglade/requests/_slot_holder.py
@@ -94,6 +94,7 @@
         self._calls: dict[UpstreamId, asyncio.Task[None]] = {}
         self._incarnation = uuid.uuid4().hex
         self._sequence = 0
+        self._is_stopped = False
         self._task: asyncio.Task[None] | None = None
         self._listeners: list[Callable[[], None]] = []
 
@@ -103,7 +104,8 @@
         self._task = asyncio.create_task(self._renew_forever())
 
     async def stop(self) -> None:
-        """Returns the unused slots and fails the waiting requests."""
+        """Returns the unused slots; waiting requests get NoSlotError."""
+        self._is_stopped = True
         tasks = [t for t in (self._task, *self._calls.values()) if t]
         for task in tasks:
             task.cancel()
@@ -111,7 +113,8 @@
         self._task = None
         for upstream, lease in self._leases.items():
             for waiter in lease.waiting:
-                waiter.cancel()
+                if not waiter.done():
+                    waiter.set_exception(_errors.NoSlotError("stopped"))
             lease.count, lease.valid_until_s = lease.in_use, 0.0
             await self._return(upstream, lease)
 
@@ -203,6 +206,8 @@
             slot = self.try_acquire(upstream)
             if slot is not None:
                 return slot
+            if self._is_stopped:
+                raise _errors.NoSlotError("stopped")
             waiter = asyncio.get_running_loop().create_future()
             lease.waiting.append(waiter)
             self._call(upstream)
@@ -249,6 +254,8 @@
 
     def _call(self, upstream: UpstreamId) -> None:
         """Starts a call unless one is in flight for the upstream."""
+        if self._is_stopped:
+            return
         running = self._calls.get(upstream)
         if running is None or running.done():
             self._calls[upstream] = asyncio.create_task(self._renew(upstream))
--- a/magnoliaglade/requests/tests/test_slots.py
+++ b/magnoliaglade/requests/tests/test_slots.py
@@ -219,7 +219,11 @@
         await cluster.run(1)
         with pytest.raises(requests.NoSlotError):
             await second
+        third = asyncio.ensure_future(holder.acquire(U, deadline_s=1e9))
+        await cluster.run(0.25)
         await cluster.stop()
+        with pytest.raises(requests.NoSlotError):
+            await third
 
     async def test_overtaken_message_frees_nothing(self):
         """Guards against a delayed report that lowers the slots counted."""
