Check a request's permission right before it is written

Cause: a request may wait for a connection after its slot was checked, and the lease can lapse meanwhile. Change: exchange takes a before_write callback that runs with no await before the first byte.

--- a/magnoliaglade/requests/_connection.py
+++ b/magnoliaglade/requests/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import socket
+from collections.abc import Callable
 
 import h11
 
@@ -20,6 +21,8 @@
 _KEEPALIVE_PROBES = 3
 _USER_TIMEOUT_MS = 8000
 
+Check = Callable[[], None]
+
 # Set by the connection itself, or valid for one hop only (RFC 9110, 7.6.1).
 _OWN_HEADERS = frozenset(
     [
@@ -127,9 +130,14 @@
         """Closes at once; unsent bytes are discarded."""
         self.writer.transport.abort()
 
-    async def exchange(self, request: UpstreamRequest) -> UpstreamResponse:
+    async def exchange(
+        self, request: UpstreamRequest, *, before_write: Check | None = None
+    ) -> UpstreamResponse:
         """Sends a request and returns its complete response.
 
+        `before_write` is called with no await between it and the first byte;
+        if it raises, nothing is written and its error is passed on.
+
         Raises:
             NotSentError: no byte was written, or the upstream refused with
                 status 503 and `x-not-run: true`.
@@ -140,7 +148,7 @@
             raise _errors.NotSentError("connection is busy")
         self._is_busy = True
         try:
-            response = await self._exchange(request)
+            response = await self._exchange(request, before_write)
         except BaseException:
             self.close()
             raise
@@ -150,13 +158,17 @@
             raise _errors.NotSentError("refused before run", response=response)
         return response
 
-    async def _exchange(self, request: UpstreamRequest) -> UpstreamResponse:
+    async def _exchange(
+        self, request: UpstreamRequest, before_write: Check | None
+    ) -> UpstreamResponse:
         await self._check_quiet()
         sent_s = self.clock.now()
         if sent_s >= request.deadline_s:
             raise _errors.NotSentError("deadline has passed")
         data = self._encode(request, request.deadline_s - sent_s)
         self._last_progress_s = sent_s
+        if before_write is not None:
+            before_write()
         self.writer.write(data)
         try:
             head = await self._read_head(request)
--- a/magnoliaglade/requests/_pool.py
+++ b/magnoliaglade/requests/_pool.py
@@ -103,10 +103,17 @@
         }
 
     async def exchange(
-        self, request: _connection.UpstreamRequest
+        self,
+        request: _connection.UpstreamRequest,
+        *,
+        before_write: _connection.Check | None = None,
     ) -> _connection.UpstreamResponse:
         """Sends a request over a live connection.
 
+        `before_write` checks what may have changed while the request waited
+        for a connection, such as the lease of its slot; see
+        `UpstreamConnection.exchange`.
+
         Raises:
             NotSentError: the request has not run.
             OutcomeUnknownError: it may have run; see `NoProgressError` for a
@@ -119,7 +126,7 @@
             await self._wait_turn(request.deadline_s)
             self._permits += 1
             try:
-                return await self._exchange(request)
+                return await self._exchange(request, before_write)
             finally:
                 self._permits -= 1
                 self._requests.release()
@@ -180,12 +187,14 @@
         waiting.cancel()
 
     async def _exchange(
-        self, request: _connection.UpstreamRequest
+        self,
+        request: _connection.UpstreamRequest,
+        before_write: _connection.Check | None,
     ) -> _connection.UpstreamResponse:
         while True:
             connection, is_new = await self._acquire(request.deadline_s)
             try:
-                return await self._watched(connection, request)
+                return await self._watched(connection, request, before_write)
             except _errors.NotSentError as error:
                 # A kept connection may have been closed meanwhile; nothing
                 # was written, so the next connection can be used instead.
@@ -228,10 +237,11 @@
         self,
         connection: _connection.UpstreamConnection,
         request: _connection.UpstreamRequest,
+        before_write: _connection.Check | None,
     ) -> _connection.UpstreamResponse:
         watch = asyncio.ensure_future(self._watch(connection))
         try:
-            return await connection.exchange(request)
+            return await connection.exchange(request, before_write=before_write)
         except _errors.NoProgressError as error:
             self._replaced += 1
             self._suspect_idle()
--- a/magnoliaglade/requests/_slot_holder.py
+++ b/magnoliaglade/requests/_slot_holder.py
@@ -47,6 +47,8 @@
     def check(self) -> None:
         """Call this after the last await before the request is sent.
 
+        `ConnectionPool.exchange` does so if it is passed as `before_write`.
+
         Raises:
             SlotLapsedError: the lease lapsed since the slot was acquired.
         """
--- a/magnoliaglade/requests/tests/test_connection.py
+++ b/magnoliaglade/requests/tests/test_connection.py
@@ -138,7 +138,7 @@
             bad = make_request(clock, headers=(("a", "b\r\nc"),))
             with pytest.raises(requests.NotSentError):
                 await connection.exchange(bad)
-            assert seen.empty()
+        assert seen.empty()
 
     async def test_cancelled_exchange_closes(self):
         """Guards against a late response reaching the next request."""
@@ -151,3 +151,16 @@
             with pytest.raises(asyncio.CancelledError):
                 await call
             assert not connection.is_open
+
+    async def test_failed_check_writes_nothing(self):
+        """Guards against using a slot that lapsed while connecting."""
+
+        def check():
+            raise requests.SlotLapsedError("lapsed")
+
+        async with scripted((b"", False)) as (clock, connection, seen):
+            with pytest.raises(requests.SlotLapsedError):
+                await connection.exchange(
+                    make_request(clock), before_write=check
+                )
+        assert seen.empty()
