--- a/benchmarks/bench_requests.py
+++ b/benchmarks/bench_requests.py
@@ -14,185 +14,29 @@
 """
 
 import asyncio
-import collections
-import dataclasses
-import heapq
-import itertools
 import json
 import random
 from collections.abc import Callable
 from typing import Any
 
-from magnoliaglade import clock as clock_lib
+from benchmarks import _request_model
 from magnoliaglade import configuration, kernel, requests
 from magnoliaglade.platform import instance_list
-from magnoliaglade.types import (
-    AccountId,
-    InstanceId,
-    RequestId,
-    UpstreamId,
-    ZoneId,
-)
+from magnoliaglade.types import AccountId, InstanceId, RequestId, UpstreamId
 
 SEEDS = (1, 2, 3, 4, 5)
-EXECUTORS = 24
-SLOTS = 8
-ZONES = 3
-DURATION_S = 120.0
-FAULTS_AT_S = 10.0
-GONE_AT_S = 20.0
-DEADLINE_S = 30.0
-# A healthy executor exceeds this for 0.014% of the requests; at 5 s it would
-# for 1.4%, which would measure the timeout and not the decisions.
-PROGRESS_TIMEOUT_S = 10.0
-PROBE_S = 1.0
-SLOW_FACTOR = 5.0
-FAIL_AFTER_S = 0.01
-LOAD = 0.9
 NAIVE_RETRIES = 3
-# Small proofs and larger renderings, with a mean of 1 s in all.
-KINDS = {"proof": (0.8, 0.5), "render": (0.2, 3.0)}
-_SPREAD = 0.4
-_SLOW, _FAILING, _SILENT, _LEAVING = range(4)
-_FAULTY = 4
-_ACCOUNTS = {"a": 0.25, "b": 0.15, "c": 0.1, "d": 0.1}
-
-
-class EventClock(clock_lib.Clock):
-    """Virtual time that the event loop below moves."""
-
-    def __init__(self) -> None:
-        self.now_s = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
-
-    def now(self) -> float:
-        """Returns the virtual time."""
-        return self.now_s
-
-    def time(self) -> float:
-        """Returns the virtual time."""
-        return self.now_s
-
-    async def sleep(self, delay_s: float) -> None:
-        """Never returns: time stands still during a coroutine."""
-        await asyncio.get_running_loop().create_future()
-
-    def call_later(self, delay_s: float, call: Callable[[], None]) -> None:
-        """Schedules a call."""
-        event = (self.now_s + delay_s, next(self._order), call)
-        heapq.heappush(self._events, event)
-
-    def run(self) -> None:
-        """Runs every event in order."""
-        while self._events:
-            self.now_s, _, call = heapq.heappop(self._events)
-            call()
-
-
-@dataclasses.dataclass(kw_only=True, eq=False)
-class Request:
-    """One request and its results so far."""
-
-    number: int
-    account: AccountId
-    kind: str
-    service_s: float
-    arrived_s: float
-    attempts: int = 0
-    completed_s: float | None = None
-    ticket: requests.Ticket | None = None
-
-    @property
-    def deadline_s(self) -> float:
-        """End of the caller's patience."""
-        return self.arrived_s + DEADLINE_S
-
-
-@dataclasses.dataclass(kw_only=True, eq=False)
-class Attempt:
-    """One dispatch; `report` gets "ok", "failed", "silent" or "refused"."""
-
-    request: Request
-    upstream: UpstreamId
-    report: Callable[["Attempt", str], None]
-    started_s: float
-    is_done: bool = False
-
-
-class Executor:
-    """Runs up to `SLOTS` attempts and queues the others without a bound."""
-
-    def __init__(self, clock: EventClock, number: int) -> None:
-        self.clock = clock
-        self.number = number
-        self.upstream = UpstreamId(f"u{number:02}")
-        self.zone = ZoneId(f"zone-{number % ZONES}")
-        self.running: set[Attempt] = set()
-        self.queue: collections.deque[Attempt] = collections.deque()
-
-    def has_fault(self, number: int) -> bool:
-        """Tells whether this executor shows a fault now."""
-        return self.number == number and self.clock.now() >= FAULTS_AT_S
-
-    @property
-    def is_gone(self) -> bool:
-        """Whether connections are refused."""
-        return self.number == _LEAVING and self.clock.now() >= GONE_AT_S
-
-    def submit(self, attempt: Attempt) -> None:
-        """Accepts an attempt."""
-        if self.is_gone:
-            self.clock.call_later(0.001, lambda: self._end(attempt, "refused"))
-            return
-        if self.has_fault(_FAILING):
-            self.clock.call_later(
-                FAIL_AFTER_S, lambda: self._end(attempt, "failed")
-            )
-            return
-        remaining_s = attempt.request.deadline_s - self.clock.now()
-        self.clock.call_later(
-            min(PROGRESS_TIMEOUT_S, remaining_s),
-            lambda: self._end(attempt, "silent"),
-        )
-        if not self.has_fault(_SILENT):
-            self.queue.append(attempt)
-            self._start_next()
-
-    def _start_next(self) -> None:
-        while self.queue and len(self.running) < SLOTS:
-            attempt = self.queue.popleft()
-            if attempt.is_done:
-                continue
-            self.running.add(attempt)
-            factor = SLOW_FACTOR if self.has_fault(_SLOW) else 1.0
-            self.clock.call_later(
-                attempt.request.service_s * factor, _finisher(self, attempt)
-            )
-
-    def finish(self, attempt: Attempt) -> None:
-        """Answers an attempt, unless the executor fell silent or is gone."""
-        if not self.has_fault(_SILENT) and not self.is_gone:
-            self._end(attempt, "ok")
-
-    def _end(self, attempt: Attempt, outcome: str) -> None:
-        if attempt.is_done:
-            return
-        attempt.is_done = True
-        self.running.discard(attempt)
-        attempt.report(attempt, outcome)
-        self._start_next()
-
-
-def _finisher(executor: Executor, attempt: Attempt) -> Callable[[], None]:
-    return lambda: executor.finish(attempt)
+PROBE_S = 1.0
 
 
 class NaivePath:
     """The baseline."""
 
     def __init__(
-        self, clock: EventClock, executors: list[Executor], seed: int
+        self,
+        clock: _request_model.EventClock,
+        executors: list[_request_model.Executor],
+        seed: int,
     ) -> None:
         self.clock = clock
         self.executors = {e.upstream: e for e in executors}
@@ -207,11 +51,11 @@
             for e in executors
         ]
 
-    def start(self, request: Request) -> None:
+    def start(self, request: _request_model.Request) -> None:
         """Dispatches a request at once."""
         request.attempts += 1
         upstream = self._balancer.choose(self._candidates)
-        attempt = Attempt(
+        attempt = _request_model.Attempt(
             request=request,
             upstream=upstream,
             report=self._report,
@@ -219,7 +63,7 @@
         )
         self.executors[upstream].submit(attempt)
 
-    def _report(self, attempt: Attempt, outcome: str) -> None:
+    def _report(self, attempt: _request_model.Attempt, outcome: str) -> None:
         request, now_s = attempt.request, self.clock.now()
         if outcome == "ok":
             request.completed_s = now_s
@@ -231,7 +75,10 @@
     """The decision parts of `magnoliaglade.requests`."""
 
     def __init__(
-        self, clock: EventClock, executors: list[Executor], seed: int
+        self,
+        clock: _request_model.EventClock,
+        executors: list[_request_model.Executor],
+        seed: int,
     ) -> None:
         self.clock = clock
         self.executors = {e.upstream: e for e in executors}
@@ -243,7 +90,7 @@
         self._ejector = requests.OutlierEjector(clock=clock)
         self._ejector.set_upstreams(self.executors)
         self._budget = requests.RetryBudget(clock=clock)
-        self._free = dict.fromkeys(self.executors, SLOTS)
+        self._free = dict.fromkeys(self.executors, _request_model.SLOTS)
         self._queue = requests.FairQueue(
             clock=clock, estimator=requests.ServiceTimeEstimator()
         )
@@ -252,7 +99,7 @@
                 configuration.AccountConfig(
                     account=AccountId(name), key_digest="", request_share=share
                 )
-                for name, share in _ACCOUNTS.items()
+                for name, share in _request_model.ACCOUNTS.items()
             ]
         )
         self._directory = requests.UpstreamDirectory(
@@ -264,7 +111,7 @@
         asyncio.run(self._directory.poll_once())
         self._probe()
 
-    def start(self, request: Request) -> None:
+    def start(self, request: _request_model.Request) -> None:
         """Queues a request or refuses it."""
         self._budget.note_request()
         request.ticket = requests.Ticket(
@@ -295,7 +142,7 @@
         healthy = self._ejector.eligible(upstreams)
         return [u for u in healthy if self._free[u] > 0]
 
-    def _dispatch(self, request: Request) -> None:
+    def _dispatch(self, request: _request_model.Request) -> None:
         if self.clock.now() >= request.deadline_s:
             self._give_up(request)
             return
@@ -310,7 +157,7 @@
         self._free[upstream] -= 1
         self._loads.begin(upstream)
         self._ejector.dispatched(upstream)
-        attempt = Attempt(
+        attempt = _request_model.Attempt(
             request=request,
             upstream=upstream,
             report=self._report,
@@ -318,7 +165,7 @@
         )
         self.executors[upstream].submit(attempt)
 
-    def _report(self, attempt: Attempt, outcome: str) -> None:
+    def _report(self, attempt: _request_model.Attempt, outcome: str) -> None:
         request, upstream = attempt.request, attempt.upstream
         now_s = self.clock.now()
         self._free[upstream] += 1
@@ -342,7 +189,7 @@
             self._give_up(request)
         self._admit()
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: _request_model.Request) -> None:
         self._queue.finish(request.ticket, succeeded=False)
 
     def _observe(self, upstream: UpstreamId, sent_s: float) -> None:
@@ -354,7 +201,7 @@
                 status=200,
                 headers=(),
                 body=b"",
-                leaving=executor.has_fault(_LEAVING),
+                leaving=executor.has_fault(_request_model.LEAVING),
                 sent_s=sent_s,
             ),
         )
@@ -364,16 +211,19 @@
         for upstream, executor in self.executors.items():
             if executor.is_gone:
                 self._directory.observe_refused(upstream)
-            elif not executor.has_fault(_SILENT):
+            elif not executor.has_fault(_request_model.SILENT):
                 self._observe(upstream, self.clock.now())
-        if self.clock.now() < DURATION_S + DEADLINE_S:
+        if (
+            self.clock.now()
+            < _request_model.DURATION_S + _request_model.DEADLINE_S
+        ):
             self.clock.call_later(PROBE_S, self._probe)
 
 
 class _LaggingList:
     """Shows every executor as live to the end."""
 
-    def __init__(self, executors: list[Executor]) -> None:
+    def __init__(self, executors: list[_request_model.Executor]) -> None:
         self._executors = executors
 
     async def instances(self) -> list[instance_list.ListedInstance]:
@@ -393,41 +243,22 @@
     return None
 
 
-def make_requests(seed: int) -> list[Request]:
-    """Draws the arrivals of one run; the same for both paths."""
-    rng = random.Random(seed)
-    mean_s = sum(part * mean for part, mean in KINDS.values())
-    rate = LOAD * (EXECUTORS - _FAULTY) * SLOTS / mean_s
-    made: list[Request] = []
-    now_s = rng.expovariate(rate)
-    while now_s < DURATION_S:
-        kind = rng.choices(list(KINDS), [p for p, _ in KINDS.values()])[0]
-        log_mean = -(_SPREAD**2) / 2
-        made.append(
-            Request(
-                number=len(made),
-                account=AccountId(rng.choice(list(_ACCOUNTS))),
-                kind=kind,
-                service_s=KINDS[kind][1]
-                * rng.lognormvariate(log_mean, _SPREAD),
-                arrived_s=now_s,
-            )
-        )
-        now_s += rng.expovariate(rate)
-    return made
-
-
 def simulate(path_class: Any, seed: int) -> dict[str, float]:
     """Runs one path and returns its figures by metric."""
-    clock = EventClock()
-    executors = [Executor(clock, n) for n in range(EXECUTORS)]
+    clock = _request_model.EventClock()
+    executors = [
+        _request_model.Executor(clock, n)
+        for n in range(_request_model.EXECUTORS)
+    ]
     path = path_class(clock, executors, seed)
-    made = make_requests(seed)
+    made = _request_model.make_requests(seed)
     for request in made:
         clock.call_later(request.arrived_s, _starter(path, request))
     clock.run()
     times_s = sorted(
-        DEADLINE_S if r.completed_s is None else r.completed_s - r.arrived_s
+        _request_model.DEADLINE_S
+        if r.completed_s is None
+        else r.completed_s - r.arrived_s
         for r in made
     )
     return {
@@ -439,7 +270,7 @@
     }
 
 
-def _starter(path: Any, request: Request) -> Callable[[], None]:
+def _starter(path: Any, request: _request_model.Request) -> Callable[[], None]:
     return lambda: path.start(request)
 
 
