Make the whole path run: own HTTP client connection, inventory as a source

Cause: the demonstration failed at its first request (a property shadowed the interface's method), and store calls timed out at random. Ruled out: the store stand-in and the pool size. The client library reads bodies in a task of its own and reuses a connection after a cancelled call, so the next answer was read by the wrong call. Change: an h11 connection that carries one call at a time and is closed after any error; the inventory implements the instance list interface; slots are checked by the pool right before the first byte.

--- a/magnoliaglade/cli/_demo.py
+++ b/magnoliaglade/cli/_demo.py
@@ -225,7 +225,8 @@
 
 
 async def _until(condition: Callable[[], Any]) -> None:
-    while not condition():
+    # The parts offer no event for every state, so the state is polled.
+    while not condition():  # noqa: ASYNC110
         await asyncio.sleep(_POLL_S)
 
 
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -37,7 +37,7 @@
         Raises:
             WorkerUnreachableError: the worker is not listed.
         """
-        for listed in self.inventory.instances:
+        for listed in self.inventory.listed:
             if listed.instance == worker:
                 return self._client(listed.address)
         raise worker_lib.WorkerUnreachableError(f"{worker}: is not listed")
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -3,19 +3,18 @@
 import asyncio
 import dataclasses
 import json
+import time
 from typing import Any
 from urllib import parse
 
 import msgpack
-from blacksheep import client as http_client
-from blacksheep import contents
 
 from magnoliaglade import base, exceptions
+from magnoliaglade.http import _connection
 
 # Idle connections are given up before the server closes them.
 _IDLE_S = 30.0
-# Above every deadline in use; the call's own timeout ends it.
-_LIBRARY_TIMEOUT_S = 3600.0
+_MAX_IDLE = 16
 
 
 class HttpClientError(exceptions.MagnoliagladeError):
@@ -71,17 +70,16 @@
     def __init__(self, *, url: str, timeout_s: float = 1.0) -> None:
         self.url = url
         self.timeout_s = timeout_s
-        self._session: http_client.ClientSession | None = None
+        self._idle: list[tuple[float, _connection.ClientConnection]] = []
 
     async def start(self) -> None:
         """Checks the parameters; connects on first use."""
         self.validate_params()
 
     async def stop(self) -> None:
-        """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Closes all idle connections."""
+        while self._idle:
+            self._idle.pop()[1].close()
 
     async def call(
         self,
@@ -109,39 +107,51 @@
             NotSentError: no connection could be made.
             NoAnswerError: no whole answer within the timeout.
         """
-        session = self._require_session()
-        request = http_client.session.Request(
-            method,
-            session.get_url(_target(path, query)),
-            [(k.encode(), v.encode()) for k, v in (headers or {}).items()],
-        )
+        names = dict(headers or {})
         if body is not None:
-            content = contents.Content(content_type.encode(), body)
-            request = request.with_content(content)
+            names["content-type"] = content_type
+        connection: _connection.ClientConnection | None = None
         try:
             async with asyncio.timeout(timeout_s or self.timeout_s):
-                response = await session.send(request)
-                return Reply(
-                    status=response.status, body=await response.read() or b""
+                connection = await self._connect()
+                status, content = await connection.exchange(
+                    method, _target(path, query), [*names.items()], body or b""
                 )
-        except (ConnectionRefusedError, http_client.ConnectionTimeout) as error:
-            raise NotSentError(f"{self.url}: {error!r}") from error
-        except Exception as error:
-            # The request may have been sent, whatever broke afterwards.
-            raise NoAnswerError(f"{self.url}: {error!r}") from error
-
-    def _require_session(self) -> http_client.ClientSession:
-        if self._session is None:
-            self._session = http_client.ClientSession(
-                base_url=self.url,
-                follow_redirects=False,
-                connection_timeout=self.timeout_s,
-                request_timeout=_LIBRARY_TIMEOUT_S,
-                http2=False,
-                max_connection_retries=0,
-                idle_timeout=_IDLE_S,
-            )
-        return self._session
+        except BaseException as error:
+            if connection is not None:
+                connection.close()
+            raise _translate(error, self.url, connection) from error
+        self._keep(connection)
+        return Reply(status=status, body=content)
+
+    async def _connect(self) -> _connection.ClientConnection:
+        while self._idle:
+            since_s, connection = self._idle.pop()
+            if connection.is_reusable and time.monotonic() - since_s < _IDLE_S:
+                return connection
+            connection.close()
+        return await _connection.connect(self.url)
+
+    def _keep(self, connection: _connection.ClientConnection) -> None:
+        if connection.is_reusable and len(self._idle) < _MAX_IDLE:
+            self._idle.append((time.monotonic(), connection))
+        else:
+            connection.close()
+
+
+def _translate(
+    error: BaseException,
+    url: str,
+    connection: _connection.ClientConnection | None,
+) -> BaseException:
+    """Returns the layer's error; cancellation and bugs stay as they are."""
+    if not isinstance(
+        error, OSError | TimeoutError | _connection.ConnectionBrokenError
+    ):
+        return error
+    if connection is None:
+        return NotSentError(f"{url}: {error!r}")
+    return NoAnswerError(f"{url}: {error!r}")
 
 
 def _target(path: str, query: dict[str, Any] | None) -> str:
--- a/magnoliaglade/platform/_inventory.py
+++ b/magnoliaglade/platform/_inventory.py
@@ -1,6 +1,7 @@
 """Polls the instance list and keeps the last answer."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -40,7 +41,7 @@
         self._task: asyncio.Task[None] | None = None
 
     @property
-    def instances(self) -> list[instance_list.ListedInstance]:
+    def listed(self) -> list[instance_list.ListedInstance]:
         """The instances as of the last answer."""
         return list(self._instances)
 
@@ -49,6 +50,16 @@
         """Seconds since the last answer."""
         return self.clock.now() - self._read_s
 
+    async def instances(self) -> list[instance_list.ListedInstance]:
+        """Returns the last answer; see `InstanceList.instances`.
+
+        Raises:
+            InstanceListError: there has been no answer yet.
+        """
+        if not math.isfinite(self._read_s):
+            raise instance_list.InstanceListError("has not been read yet")
+        return self.listed
+
     def on_read(self, listener: Listener) -> None:
         """Registers a callback for every answer."""
         self._listeners.append(listener)
--- a/magnoliaglade/requests/_dispatch.py
+++ b/magnoliaglade/requests/_dispatch.py
@@ -274,7 +274,10 @@
         parts.loads.begin(upstream)
         parts.ejector.dispatched(upstream)
         try:
-            response = await pool.exchange(self._wire(request, slot, listed))
+            response = await pool.exchange(
+                self._wire(request),
+                before_write=lambda: self._check(slot, listed),
+            )
             parts.directory.observe(upstream, response)
             succeeded = response.status < _SERVER_ERROR
             return _answer(response)
@@ -294,17 +297,17 @@
             )
             parts.ejector.observe(upstream, succeeded=succeeded)
 
-    def _wire(
+    def _check(
         self,
-        request: base.UpstreamRequest,
         slot: upstreams.HeldSlot,
         listed: instance_list_lib.ListedInstance,
-    ) -> upstreams.ExchangeRequest:
-        def check() -> None:
-            slot.check()
-            if listed.zone not in self.zones():
-                raise upstreams.NotSentError(f"zone {listed.zone} is removed")
+    ) -> None:
+        """Runs after the last await before the first byte is written."""
+        slot.check()
+        if listed.zone not in self.zones():
+            raise upstreams.NotSentError(f"zone {listed.zone} is removed")
 
+    def _wire(self, request: base.UpstreamRequest) -> upstreams.ExchangeRequest:
         return upstreams.ExchangeRequest(
             request=request.request_id,
             method="POST",
@@ -314,7 +317,6 @@
             body=request.body,
             progress_timeout_s=request.progress_timeout_s,
             idempotent=request.idempotent,
-            before_send=check,
         )
 
     def _state(self, parts: ServiceParts, upstream: UpstreamId) -> str:
--- a/magnoliaglade/standins/executor.py
+++ b/magnoliaglade/standins/executor.py
@@ -4,7 +4,8 @@
 body that it was given, prefixed by the run's number, and the request's
 `x-request-id`. Requests beyond the slots are answered 503 with
 `x-not-run: true`. A leaving executor adds `x-leaving: true` to its answers.
-`GET /healthz` answers 200.
+`GET /healthz` answers 200 with the same two headers, so that a leaving executor
+without requests is noticed as well.
 """
 
 import asyncio
@@ -79,7 +80,7 @@
         await self._server.stop()
 
     async def _health(self, request: blacksheep.Request) -> blacksheep.Response:
-        return http.json_response(200, {"running": self._running})
+        return self._finish(request, 200, b"alive")
 
     async def _run(self, request: blacksheep.Request) -> blacksheep.Response:
         body = await http.read_body(request, max_bytes=_MAX_BODY_BYTES)
--- a/magnoliaglade/upstreams/_connection.py
+++ b/magnoliaglade/upstreams/_connection.py
@@ -21,6 +21,8 @@
 _KEEPALIVE_PROBES = 3
 _USER_TIMEOUT_MS = 8000
 
+Check = Callable[[], None]
+
 # Set by the connection itself, or valid for one hop only (RFC 9110, 7.6.1).
 _OWN_HEADERS = frozenset(
     [
@@ -53,8 +55,6 @@
         deadline_s: end of the exchange on the local monotonic clock.
         progress_timeout_s: longest time without a byte in either direction.
         idempotent: whether a second run is harmless.
-        before_send: called after the last await before the first byte is
-            written; an error it raises means that nothing was written.
     """
 
     request: RequestId
@@ -65,7 +65,6 @@
     body: bytes = b""
     progress_timeout_s: float = 5.0
     idempotent: bool = False
-    before_send: Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -131,9 +130,14 @@
         """Closes at once; unsent bytes are discarded."""
         self.writer.transport.abort()
 
-    async def exchange(self, request: ExchangeRequest) -> ExchangeResponse:
+    async def exchange(
+        self, request: ExchangeRequest, *, before_write: Check | None = None
+    ) -> ExchangeResponse:
         """Sends a request and returns its complete response.
 
+        `before_write` is called with no await between it and the first byte;
+        if it raises, nothing is written and its error is passed on.
+
         Raises:
             NotSentError: no byte was written, or the upstream refused with
                 status 503 and `x-not-run: true`.
@@ -144,7 +148,7 @@
             raise _errors.NotSentError("connection is busy")
         self._is_busy = True
         try:
-            response = await self._exchange(request)
+            response = await self._exchange(request, before_write)
         except BaseException:
             self.close()
             raise
@@ -154,14 +158,17 @@
             raise _errors.NotSentError("refused before run", response=response)
         return response
 
-    async def _exchange(self, request: ExchangeRequest) -> ExchangeResponse:
+    async def _exchange(
+        self, request: ExchangeRequest, before_write: Check | None
+    ) -> ExchangeResponse:
         await self._check_quiet()
         sent_s = self.clock.now()
         if sent_s >= request.deadline_s:
             raise _errors.NotSentError("deadline has passed")
         data = self._encode(request, request.deadline_s - sent_s)
-        request.before_send()
         self._last_progress_s = sent_s
+        if before_write is not None:
+            before_write()
         self.writer.write(data)
         try:
             head = await self._read_head(request)
@@ -281,14 +288,19 @@
         UpstreamRefusedError: the upstream refused the connection.
         NotSentError: no connection within `timeout_s`.
     """
+    opening = asyncio.ensure_future(asyncio.open_connection(host, port))
+    # A connection that is made while the caller is cancelled has no owner.
+    is_owned = False
     try:
-        reader, writer = await clock.wait_for(
-            asyncio.open_connection(host, port), timeout_s
-        )
+        reader, writer = await clock.wait_for(opening, timeout_s)
+        is_owned = True
     except ConnectionRefusedError as error:
         raise _errors.UpstreamRefusedError(repr(error)) from error
     except (OSError, TimeoutError) as error:
         raise _errors.NotSentError(f"no connection: {error!r}") from error
+    finally:
+        if not is_owned:
+            opening.add_done_callback(_close_unowned)
     _set_timeouts(writer.get_extra_info("socket"))
     return UpstreamConnection(
         reader=reader,
@@ -299,6 +311,11 @@
     )
 
 
+def _close_unowned(opening: asyncio.Future) -> None:
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].transport.abort()
+
+
 def _set_timeouts(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     options = {
--- a/magnoliaglade/upstreams/tests/test_connection.py
+++ b/magnoliaglade/upstreams/tests/test_connection.py
@@ -18,6 +18,7 @@
     clock = clock_lib.ManualClock()
     script = list(answers)
     seen = asyncio.Queue()
+    done = asyncio.Event()
 
     async def serve(reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
@@ -29,6 +30,7 @@
                     writer.close()
             await reader.read()
         writer.close()
+        done.set()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -38,6 +40,7 @@
     yield clock, connection, seen
     connection.close()
     server.close()
+    await done.wait()
 
 
 def make_request(clock, **changes):
@@ -135,7 +138,7 @@
             bad = make_request(clock, headers=(("a", "b\r\nc"),))
             with pytest.raises(upstreams.NotSentError):
                 await connection.exchange(bad)
-            assert seen.empty()
+        assert seen.empty()
 
     async def test_cancelled_exchange_closes(self):
         """Guards against a late response reaching the next request."""
@@ -148,3 +151,16 @@
             with pytest.raises(asyncio.CancelledError):
                 await call
             assert not connection.is_open
+
+    async def test_failed_check_writes_nothing(self):
+        """Guards against using a slot that lapsed while connecting."""
+
+        def check():
+            raise upstreams.SlotLapsedError("lapsed")
+
+        async with scripted((b"", False)) as (clock, connection, seen):
+            with pytest.raises(upstreams.SlotLapsedError):
+                await connection.exchange(
+                    make_request(clock), before_write=check
+                )
+        assert seen.empty()
