--- a/magnoliaglade/requests/tests/claim_cluster.py
+++ b/magnoliaglade/requests/tests/claim_cluster.py
@@ -180,7 +180,7 @@
                 store=store, instance=self.instance, lease=self.lease
             ),
             views=cluster,
-            compact_records=cluster.compact_records,
+            **cluster.options,
         )
         self.client = requests.ClaimsClient(
             clock=clock,
@@ -212,9 +212,9 @@
 
 
 class Cluster:
-    def __init__(self, *, names="abc", compact_records=10_000):
+    def __init__(self, *, names="abc", **options):
         self.clock = clock_lib.ManualClock()
-        self.compact_records = compact_records
+        self.options = options
         self.memory = store_lib.InMemoryStore(clock=self.clock)
         self.hub = peers.LocalHub(clock=self.clock)
         self.crashes = Crashes(self.hub)
--- a/magnoliaglade/requests/tests/test_crash_points.py
+++ b/magnoliaglade/requests/tests/test_crash_points.py
@@ -18,6 +18,8 @@
     steps are those of the other instances from then on.
     """
 
+    kind = "reprint"
+
     def __init__(self, *, owner, crash_at=None, is_takeover=False):
         self.cluster = claim_cluster.Cluster(names="abcd")
         self.crashes = self.cluster.crashes
@@ -45,7 +47,7 @@
 
     async def lose_owner(self, key):
         self.cluster.upstream.delay_s = 3.0
-        self.cluster.send("a", key)
+        self.cluster.send("a", key, kind=self.kind)
         await self.cluster.clock.advance(0.2)
         assert self.runs[key.encode()] == 1
         self.crashes.crash(self.owner)
@@ -54,7 +56,7 @@
         """Sends a request; a caller of an instance that dies gets nothing."""
         if name in self.crashes.dead:
             return
-        task = self.cluster.send(name, key)
+        task = self.cluster.send(name, key, kind=self.kind)
         for _ in range(int(ATTEMPT_S / 0.05)):
             if task.done() or name in self.crashes.dead:
                 break
