Bound the slots a claim successor reads, and isolate broken logs

Cause: compaction was due by number of records in proportion to the table, so a partition with many claims could leave tens of thousands of slots that a successor reads one by one, beyond the takeover bound of 5 s. An unreadable record also ended the task that acquires all partitions.

Change: compaction is due after 250 slots, or one slot per 100 claims in a large table. A failure to acquire one partition is counted and does not keep the instance from the others. The crash points now include a compaction.

--- a/magnoliaglade/requests/_claim_partition.py
+++ b/magnoliaglade/requests/_claim_partition.py
@@ -15,8 +15,12 @@
 _REPLY_MARGIN_S = 0.05
 # Pause before a claim record of unknown outcome is written again.
 _DOUBT_PAUSE_S = 0.2
-# Records replayed by a successor; above this the owner writes a snapshot.
-COMPACT_RECORDS = 10_000
+# A successor reads the slots after the snapshot one by one, at a few
+# milliseconds each, and has less than a second for it.
+COMPACT_SLOTS = 250
+# A large table is written less often: one more slot per this many claims, so
+# that snapshots stay a small share of the writes.
+_CLAIMS_PER_SLOT = 100
 
 
 class ClaimPartition:
@@ -32,17 +36,19 @@
         clock: clock_lib.Clock,
         owned: store_lib.Owned,
         log: store_lib.SingleWriterLog,
-        compact_records: int = COMPACT_RECORDS,
+        compact_slots: int = COMPACT_SLOTS,
     ) -> None:
         self.clock = clock
         self.owned = owned
         self.log = log
-        self.compact_records = compact_records
+        self.compact_slots = compact_slots
         self.counters: collections.Counter[str] = collections.Counter()
         self._table = table_lib.ClaimTable()
         self._changed: dict[bytes, asyncio.Event] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._records = 0
+        # The first snapshot of an owner comes early, because the slot of its
+        # predecessor's is not known here.
+        self._snapshot_slot = 0
         self._appending = 0
         self._idle = asyncio.Event()
         self._writable = asyncio.Event()
@@ -66,7 +72,6 @@
         """
         for record in await self.log.open():
             self._table.apply(record)
-            self._records += 1
         self.owned.check()
 
     async def close(self) -> None:
@@ -109,17 +114,17 @@
 
     async def compact_if_due(self) -> None:
         """Drops expired claims and replaces a long log by a snapshot."""
-        due = max(self.compact_records, 4 * len(self._table))
-        if self._records < due or not self.may_act:
+        due = max(self.compact_slots, len(self._table) // _CLAIMS_PER_SLOT)
+        slots = self.log.next_slot - self._snapshot_slot
+        if slots < due or not self.may_act:
             return
         self._writable.clear()
         try:
             await self._wait_for_appends()
             self.owned.check()
             self._table.expire(self.clock.time())
-            records = self._table.snapshot()
-            await self.log.compact(records)
-            self._records = len(records)
+            await self.log.compact(self._table.snapshot())
+            self._snapshot_slot = self.log.next_slot
             self.counters["compactions"] += 1
         except store_lib.StoreError:
             self.counters["compaction_failures"] += 1
@@ -230,7 +235,6 @@
         self._appending += 1
         try:
             await self.log.append(record)
-            self._records += 1
         finally:
             self._appending -= 1
             self._idle.set()
--- a/magnoliaglade/requests/_claims.py
+++ b/magnoliaglade/requests/_claims.py
@@ -1,6 +1,7 @@
 """Ownership of the claim partitions and the handlers of claim messages."""
 
 import asyncio
+import collections
 import contextlib
 from typing import Any
 
@@ -28,7 +29,7 @@
 
     _parameter_constraints = {
         "flush_s": [base.Interval(kind=float, low=0)],
-        "compact_records": [base.Interval(kind=int, low=1)],
+        "compact_slots": [base.Interval(kind=int, low=1)],
     }
 
     def __init__(
@@ -40,7 +41,7 @@
         ownership: store_lib.Ownership,
         views: requests_base.ViewSource,
         flush_s: float = CLAIM_FLUSH_S,
-        compact_records: int = partition_lib.COMPACT_RECORDS,
+        compact_slots: int = partition_lib.COMPACT_SLOTS,
     ) -> None:
         self.clock = clock
         self.store = store
@@ -48,12 +49,13 @@
         self.ownership = ownership
         self.views = views
         self.flush_s = flush_s
-        self.compact_records = compact_records
+        self.compact_slots = compact_slots
         self._partitions: dict[int, partition_lib.ClaimPartition] = {}
         self._owners: dict[int, InstanceId] = {}
         self._unowned_since: dict[int, float] = {}
         self._absent_since: dict[tuple[InstanceId, str], float] = {}
         self._task: asyncio.Task[None] | None = None
+        self.counters: collections.Counter[str] = collections.Counter()
 
     async def start(self) -> None:
         """Handles claim messages and acquires partitions from now on."""
@@ -78,6 +80,7 @@
         return {
             "owners": {str(p): o for p, o in self._owners.items()},
             "claims": {str(p): len(x.table) for p, x in self._active().items()},
+            "counters": dict(self.counters),
         }
 
     def owner_of(self, partition: int) -> InstanceId | None:
@@ -91,7 +94,8 @@
         with contextlib.suppress(store_lib.StoreError):
             await self._read_owners()
             await self._drop_lost()
-            await asyncio.gather(*(self._acquire(p) for p in self._due()))
+            await self._acquire_due()
+        self._forget_holders()
         for partition in list(self._active().values()):
             await partition.mark_unknown(self._orphans(partition.table))
             await partition.compact_if_due()
@@ -125,6 +129,15 @@
                 del self._partitions[number]
                 await partition.close()
 
+    async def _acquire_due(self) -> None:
+        # A partition with an unreadable log must not keep this instance from
+        # the other partitions.
+        results = await asyncio.gather(
+            *(self._acquire(p) for p in self._due()), return_exceptions=True
+        )
+        failures = sum(isinstance(r, Exception) for r in results)
+        self.counters["acquire_failures"] += failures
+
     def _due(self) -> list[int]:
         """Partitions without an owner for which it is this one's turn."""
         now = self.clock.now()
@@ -185,7 +198,7 @@
             clock=self.clock,
             owned=owned,
             log=log,
-            compact_records=self.compact_records,
+            compact_slots=self.compact_slots,
         )
 
     def _orphans(self, table: table_lib.ClaimTable) -> list[table_lib.Claim]:
@@ -193,6 +206,18 @@
         claims = table.open_claims()
         return [c for c in claims if self._has_failed(c.holder, c.incarnation)]
 
+    def _forget_holders(self) -> None:
+        holders = {
+            (claim.holder, claim.incarnation)
+            for partition in self._active().values()
+            for claim in partition.table.open_claims()
+        }
+        self._absent_since = {
+            holder: since_s
+            for holder, since_s in self._absent_since.items()
+            if holder in holders
+        }
+
     def _has_failed(self, holder: InstanceId, incarnation: str) -> bool:
         member = self.views.view.member(holder)
         if member is not None and member.incarnation == incarnation:
--- a/magnoliaglade/requests/tests/claim_cluster.py
+++ b/magnoliaglade/requests/tests/claim_cluster.py
@@ -242,15 +242,15 @@
             await node.start()
         await self.clock.advance(3)
 
-    def key_owned_by(self, name):
-        """Returns a key whose partition the instance owns."""
-        service = self.nodes[name].service
+    def key_owned_by(self, name, *, skip=0):
+        """Returns a key in one of the partitions that the instance owns."""
+        owned = sorted(self.nodes[name].service._active())
         for n in range(1000):
             key = IdempotencyKey(f"key-{n}")
             digest = requests.digest_key(AccountId("acme"), key)
-            if service.owner_of(requests.partition_of(digest)) == name:
+            if requests.partition_of(digest) == owned[skip]:
                 return key
-        raise AssertionError(f"{name} owns no partition")
+        raise AssertionError(f"no key in partition {owned[skip]}")
 
     def partition(self, name, key):
         digest = requests.digest_key(AccountId("acme"), key)
--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -215,33 +215,55 @@
         assert not first.done()
         assert not cluster.partition("c", key).may_act
 
+    async def test_unreadable_log_leaves_the_other_partitions(self, cluster):
+        """Guards against one broken record that stops every takeover."""
+        lost, other = (cluster.key_owned_by("c", skip=n) for n in (0, 1))
+        assert cluster.partition("c", lost) is not cluster.partition("c", other)
+        await cluster.partition("c", lost).log.append(b"not a record")
+        cluster.crashes.crash("c")
+        _, refused = await cluster.claim("a", lost, "r1")
+        assert refused.status is Status.UNAVAILABLE
+        _, granted = await cluster.claim("a", other, "r2")
+        assert granted.status is Status.GRANTED
+
 
 class TestCompaction:
     async def test_successor_reads_snapshot(self):
         """Guards against a compaction that forgets claims or outcomes."""
-        cluster = claim_cluster.Cluster(compact_records=2)
+        cluster = claim_cluster.Cluster(compact_slots=2)
         await cluster.start()
         key = cluster.key_owned_by("c")
         spec, _ = await cluster.claim("a", key, "r1")
         cluster.nodes["a"].client.report(spec, Result.RAN, ANSWER)
-        # Four records per live claim make a snapshot due.
-        partition = cluster.partition("c", key)
-        partition._records += 4
         await cluster.clock.advance(1)
+        partition = cluster.partition("c", key)
         assert partition.counters["compactions"] == 1
+        assert await cluster.memory.get(f"logs/{partition.log.name}/head")
         cluster.crashes.crash("c")
         await cluster.clock.advance(6)
         _, second = await cluster.claim("b", key, "r2")
         assert second.response == ANSWER
 
-    async def test_claims_are_kept_for_their_retention(self):
+    async def test_claims_are_kept_for_their_retention(self, cluster):
         """Guards against a log that grows without bound, or too short."""
-        cluster = claim_cluster.Cluster(names="a", compact_records=2)
-        await cluster.start()
-        key = cluster.key_owned_by("a")
+        key = cluster.key_owned_by("c")
         await cluster.claim("a", key, "r1")
-        partition = cluster.partition("a", key)
-        partition.table.expire(cluster.clock.time() + 86_300)
-        assert len(partition.table) == 1
-        partition.table.expire(cluster.clock.time() + 86_500)
-        assert len(partition.table) == 0
+        table = cluster.partition("c", key).table
+        table.expire(cluster.clock.time() + 86_300)
+        assert len(table) == 1
+        table.expire(cluster.clock.time() + 86_500)
+        assert len(table) == 0
+
+    async def test_release_holds_against_a_repeated_claim_record(self, cluster):
+        """Guards against a record that is repeated after its release."""
+        key = cluster.key_owned_by("c")
+        spec, _ = await cluster.claim("a", key, "r1")
+        partition = cluster.partition("c", key)
+        (claim, *_) = partition.table.snapshot()
+        cluster.nodes["a"].client.report(spec, Result.NOT_RUN)
+        await cluster.clock.advance(1)
+        await partition.log.append(claim)
+        cluster.crashes.crash("c")
+        await cluster.clock.advance(6)
+        _, second = await cluster.claim("b", key, "r2")
+        assert second.status is Status.GRANTED
--- a/magnoliaglade/requests/tests/test_crash_points.py
+++ b/magnoliaglade/requests/tests/test_crash_points.py
@@ -15,13 +15,14 @@
     """One key, sent through one instance after the other.
 
     With `is_takeover` its owner dies while the request runs, and the counted
-    steps are those of the other instances from then on.
+    steps are those of the other instances from then on, which include the
+    compaction of the key's partition.
     """
 
     kind = "reprint"
 
     def __init__(self, *, owner, crash_at=None, is_takeover=False):
-        self.cluster = claim_cluster.Cluster(names="abcd")
+        self.cluster = claim_cluster.Cluster(names="abcd", compact_slots=3)
         self.crashes = self.cluster.crashes
         self.runs = self.cluster.upstream.runs
         self.owner = owner
