Test claims that arrive during a compaction

Change: one test with a claim being stored, a compaction, and a claim that the store then refuses, followed by a takeover.

Conclusion: the exclusion of appends during a compaction is now guarded.

--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Tests of claims under store, owner and peer failures."""
 
+import asyncio
+
 import pytest
 
 from magnoliaglade import requests
@@ -244,6 +246,47 @@
         _, second = await cluster.claim("b", key, "r2")
         assert second.response == ANSWER
 
+    async def test_claims_during_a_compaction(self, cluster):
+        """Guards against a snapshot that loses or invents a claim."""
+        key = cluster.key_owned_by("c")
+        partition = cluster.partition("c", key)
+        other = next(
+            k
+            for k in (f"other-{n}" for n in range(100))
+            if cluster.nodes["c"].service._partitions.get(
+                requests.partition_of(requests.digest_key("acme", k))
+            )
+            is partition
+        )
+        cluster.nodes["c"].service._task.cancel()
+        partition.compact_slots = 0
+        faults = cluster.nodes["c"].faults
+        faults.delay_s = 0.2
+        _, stored = cluster.ask("a", key, "r1")
+        await cluster.clock.advance(0.1)
+        compaction = asyncio.create_task(partition.compact_if_due())
+        await cluster.clock.advance(0.05)
+        _, waiting = cluster.ask("b", other, "r2")
+        # The snapshot's last write starts at 0.6 s and the claim's after it.
+        await cluster.clock.advance(0.55)
+        faults.is_down = True
+        await cluster.clock.advance(0.3)
+        assert compaction.done()
+        assert partition.counters["compactions"] == 1
+        assert stored.result().status is Status.GRANTED
+        assert waiting.result().status is Status.UNAVAILABLE
+        faults.is_down, faults.delay_s = False, 0.0
+        spec, again = await cluster.claim("b", other, "r3")
+        assert again.status is Status.GRANTED
+        cluster.nodes["b"].client.report(spec, Result.RAN, ANSWER)
+        await cluster.clock.advance(1)
+        cluster.crashes.crash("c")
+        await cluster.clock.advance(6)
+        _, first = await cluster.claim("b", key, "r4", timeout_s=2)
+        assert first.status is Status.UNDECIDED
+        _, second = await cluster.claim("a", other, "r5")
+        assert second.response == ANSWER
+
     async def test_claims_are_kept_for_their_retention(self, cluster):
         """Guards against a log that grows without bound, or too short."""
         key = cluster.key_owned_by("c")
