Test an outcome that an outage or lost peer replies delay

Cause: no test brought about a store outage or a lost reply between the run of a request and the storing of its outcome.

Change: one test for an outage of 8 s and for two lost replies at that point.

Conclusion: the caller gets its answer at once, and a retry after the fault gets the stored one.

--- a/magnoliaglade/requests/tests/test_gateway.py
+++ b/magnoliaglade/requests/tests/test_gateway.py
@@ -31,6 +31,25 @@
         assert first.result().response.body == b"printed"
         assert cluster.upstream.runs[b"k"] == 1
 
+    @pytest.mark.parametrize(("is_down", "lost"), [(True, 0), (False, 2)])
+    async def test_outcome_outlasts_its_fault(self, cluster, is_down, lost):
+        """Guards against an outcome lost by an outage or lost peer replies."""
+        cluster.upstream.delay_s = 1.0
+        first = cluster.send("a", "k")
+        await cluster.clock.advance(0.5)
+        for node in cluster.nodes.values():
+            node.faults.is_down = is_down
+        cluster.hub.lost_replies = lost
+        await cluster.clock.advance(8)
+        assert isinstance(first.result(), requests.Ran)
+        assert cluster.hub.lost_replies == 0
+        for node in cluster.nodes.values():
+            node.faults.is_down = False
+        await cluster.clock.advance(8)
+        second = await cluster.wait(cluster.send("b", "k"))
+        assert second.response.body == b"printed"
+        assert cluster.upstream.runs[b"k"] == 1
+
     async def test_unknown_is_not_repeated(self, cluster):
         """Guards against a retry after bytes were written."""
         cluster.upstream.failures = [UNKNOWN]
