--- a/magnoliaglade/requests/tests/claim_cluster.py
+++ b/magnoliaglade/requests/tests/claim_cluster.py
@@ -180,7 +180,7 @@
                 store=store, instance=self.instance, lease=self.lease
             ),
             views=cluster,
-            compact_records=cluster.compact_records,
+            **cluster.options,
         )
         self.client = requests.ClaimsClient(
             clock=clock,
@@ -212,9 +212,9 @@
 
 
 class Cluster:
-    def __init__(self, *, names="abc", compact_records=10_000):
+    def __init__(self, *, names="abc", **options):
         self.clock = clock_lib.ManualClock()
-        self.compact_records = compact_records
+        self.options = options
         self.memory = store_lib.InMemoryStore(clock=self.clock)
         self.hub = peers.LocalHub(clock=self.clock)
         self.crashes = Crashes(self.hub)
@@ -242,15 +242,15 @@
             await node.start()
         await self.clock.advance(3)
 
-    def key_owned_by(self, name):
-        """Returns a key whose partition the instance owns."""
-        service = self.nodes[name].service
+    def key_owned_by(self, name, *, skip=0):
+        """Returns a key in one of the partitions that the instance owns."""
+        owned = sorted(self.nodes[name].service._active())
         for n in range(1000):
             key = IdempotencyKey(f"key-{n}")
             digest = requests.digest_key(AccountId("acme"), key)
-            if service.owner_of(requests.partition_of(digest)) == name:
+            if requests.partition_of(digest) == owned[skip]:
                 return key
-        raise AssertionError(f"{name} owns no partition")
+        raise AssertionError(f"no key in partition {owned[skip]}")
 
     def partition(self, name, key):
         digest = requests.digest_key(AccountId("acme"), key)
--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Tests of claims under store, owner and peer failures."""
 
+import asyncio
+
 import pytest
 
 from magnoliaglade import requests
@@ -215,33 +217,96 @@
         assert not first.done()
         assert not cluster.partition("c", key).may_act
 
+    async def test_unreadable_log_leaves_the_other_partitions(self, cluster):
+        """Guards against one broken record that stops every takeover."""
+        lost, other = (cluster.key_owned_by("c", skip=n) for n in (0, 1))
+        assert cluster.partition("c", lost) is not cluster.partition("c", other)
+        await cluster.partition("c", lost).log.append(b"not a record")
+        cluster.crashes.crash("c")
+        _, refused = await cluster.claim("a", lost, "r1")
+        assert refused.status is Status.UNAVAILABLE
+        _, granted = await cluster.claim("a", other, "r2")
+        assert granted.status is Status.GRANTED
+
 
 class TestCompaction:
     async def test_successor_reads_snapshot(self):
         """Guards against a compaction that forgets claims or outcomes."""
-        cluster = claim_cluster.Cluster(compact_records=2)
+        cluster = claim_cluster.Cluster(compact_slots=2)
         await cluster.start()
         key = cluster.key_owned_by("c")
         spec, _ = await cluster.claim("a", key, "r1")
         cluster.nodes["a"].client.report(spec, Result.RAN, ANSWER)
-        # Four records per live claim make a snapshot due.
-        partition = cluster.partition("c", key)
-        partition._records += 4
         await cluster.clock.advance(1)
+        partition = cluster.partition("c", key)
         assert partition.counters["compactions"] == 1
+        assert await cluster.memory.get(f"logs/{partition.log.name}/head")
         cluster.crashes.crash("c")
         await cluster.clock.advance(6)
         _, second = await cluster.claim("b", key, "r2")
         assert second.response == ANSWER
 
-    async def test_claims_are_kept_for_their_retention(self):
+    async def test_claims_during_a_compaction(self, cluster):
+        """Guards against a snapshot that loses or invents a claim."""
+        key = cluster.key_owned_by("c")
+        partition = cluster.partition("c", key)
+        other = next(
+            k
+            for k in (f"other-{n}" for n in range(100))
+            if cluster.nodes["c"].service._partitions.get(
+                requests.partition_of(requests.digest_key("acme", k))
+            )
+            is partition
+        )
+        cluster.nodes["c"].service._task.cancel()
+        partition.compact_slots = 0
+        faults = cluster.nodes["c"].faults
+        faults.delay_s = 0.2
+        _, stored = cluster.ask("a", key, "r1")
+        await cluster.clock.advance(0.1)
+        compaction = asyncio.create_task(partition.compact_if_due())
+        await cluster.clock.advance(0.05)
+        _, waiting = cluster.ask("b", other, "r2")
+        # The snapshot's last write starts at 0.6 s and the claim's after it.
+        await cluster.clock.advance(0.55)
+        faults.is_down = True
+        await cluster.clock.advance(0.3)
+        assert compaction.done()
+        assert partition.counters["compactions"] == 1
+        assert stored.result().status is Status.GRANTED
+        assert waiting.result().status is Status.UNAVAILABLE
+        faults.is_down, faults.delay_s = False, 0.0
+        spec, again = await cluster.claim("b", other, "r3")
+        assert again.status is Status.GRANTED
+        cluster.nodes["b"].client.report(spec, Result.RAN, ANSWER)
+        await cluster.clock.advance(1)
+        cluster.crashes.crash("c")
+        await cluster.clock.advance(6)
+        _, first = await cluster.claim("b", key, "r4", timeout_s=2)
+        assert first.status is Status.UNDECIDED
+        _, second = await cluster.claim("a", other, "r5")
+        assert second.response == ANSWER
+
+    async def test_claims_are_kept_for_their_retention(self, cluster):
         """Guards against a log that grows without bound, or too short."""
-        cluster = claim_cluster.Cluster(names="a", compact_records=2)
-        await cluster.start()
-        key = cluster.key_owned_by("a")
+        key = cluster.key_owned_by("c")
         await cluster.claim("a", key, "r1")
-        partition = cluster.partition("a", key)
-        partition.table.expire(cluster.clock.time() + 86_300)
-        assert len(partition.table) == 1
-        partition.table.expire(cluster.clock.time() + 86_500)
-        assert len(partition.table) == 0
+        table = cluster.partition("c", key).table
+        table.expire(cluster.clock.time() + 86_300)
+        assert len(table) == 1
+        table.expire(cluster.clock.time() + 86_500)
+        assert len(table) == 0
+
+    async def test_release_holds_against_a_repeated_claim_record(self, cluster):
+        """Guards against a record that is repeated after its release."""
+        key = cluster.key_owned_by("c")
+        spec, _ = await cluster.claim("a", key, "r1")
+        partition = cluster.partition("c", key)
+        (claim, *_) = partition.table.snapshot()
+        cluster.nodes["a"].client.report(spec, Result.NOT_RUN)
+        await cluster.clock.advance(1)
+        await partition.log.append(claim)
+        cluster.crashes.crash("c")
+        await cluster.clock.advance(6)
+        _, second = await cluster.claim("b", key, "r2")
+        assert second.status is Status.GRANTED
