Let stand-ins list themselves and stop quickly

Cause: a deployment of separate processes could not be built from the command line alone, and a stopped store waited 30 s for open watches. Change: executors and workers add themselves to the instance list and announce that they leave; JSON bodies are read whatever their media type; the request command waits for the deadline; acknowledged heartbeats are not late replies. Conclusion: the first request after start-up still waits for slots.

--- a/magnoliaglade/cli/_client.py
+++ b/magnoliaglade/cli/_client.py
@@ -114,9 +114,14 @@
 
 
 async def _exchange(
-    url: str, method: str, path: str, **options: Any
+    url: str,
+    method: str,
+    path: str,
+    *,
+    timeout_s: float = CALL_TIMEOUT_S,
+    **options: Any,
 ) -> http.Reply:
-    client = http.HttpClient(url=url, timeout_s=CALL_TIMEOUT_S)
+    client = http.HttpClient(url=url, timeout_s=timeout_s)
     await client.start()
     try:
         return await client.call(
--- a/magnoliaglade/cli/_jobs.py
+++ b/magnoliaglade/cli/_jobs.py
@@ -8,6 +8,11 @@
 
 from magnoliaglade.cli import _client, _errors, _output
 
+# The entry instance answers at the deadline of the kind of request at the
+# latest; the command waits a little longer.
+_LONGEST_DEADLINE_S = 3600.0
+_GRACE_S = 5.0
+
 _COLUMNS = ["job", "account", "state", "zone", "attempt", "tasks", "detail"]
 
 
@@ -107,6 +112,7 @@
         f"/v1/services/{service}/{kind}",
         headers=headers,
         body=body.encode(),
+        timeout_s=(deadline or _LONGEST_DEADLINE_S) + _GRACE_S,
     )
     click.echo(reply.body.decode(errors="replace"))
     if reply.status >= 300:
--- a/magnoliaglade/cli/_processes.py
+++ b/magnoliaglade/cli/_processes.py
@@ -1,6 +1,8 @@
 """Commands that run processes and check their settings."""
 
 import asyncio
+import dataclasses
+import json
 import pathlib
 import signal
 from collections.abc import Awaitable, Callable
@@ -8,7 +10,7 @@
 
 import click
 
-from magnoliaglade import base, settings
+from magnoliaglade import base, http, settings
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.cli import _errors, _output
 
@@ -94,27 +96,61 @@
     asyncio.run(_serve(server, lambda: server.url))
 
 
+_list_option = click.option(
+    "--instance-list",
+    "list_url",
+    help="Base URL of the instance list stand-in to be added to.",
+)
+_zone_option = click.option(
+    "--zone", required=True, help="Availability zone of the instance."
+)
+
+
 @standin.command("executor")
+@click.argument("name")
+@click.option("--service", required=True, help="Service that it runs.")
 @click.option("--run", "run_s", type=float, default=0.01, help="Run time in s.")
+@_zone_option
+@_list_option
 @_port_option
-def standin_executor(run_s: float, port: int) -> None:
-    """Run an upstream's executor that returns the body it was given."""
+def standin_executor(
+    name: str,
+    service: str,
+    run_s: float,
+    zone: str,
+    list_url: str | None,
+    port: int,
+) -> None:
+    """Run executor NAME of an upstream, which returns the body it is given."""
     from magnoliaglade.standins import executor
 
     server = executor.ExecutorServer(
         clock=clock_lib.SystemClock(), run_s=run_s, port=port
     )
-    asyncio.run(_serve(server, lambda: server.address))
+    fields = {"role": "upstream", "zone": zone, "service": service}
+    asyncio.run(
+        _serve(server, lambda: server.address, _Listing(name, list_url, fields))
+    )
 
 
 @standin.command("worker")
 @click.argument("name")
-@click.option("--cores", type=float, default=64)
-@click.option("--memory-gb", type=float, default=128)
-@click.option("--accelerators", type=int, default=8)
+@click.option("--cores", type=float, default=64, show_default=True)
+@click.option("--memory-gb", type=float, default=128, show_default=True)
+@click.option("--accelerators", type=int, default=8, show_default=True)
+@click.option("--rack", default="rack-0", show_default=True)
+@_zone_option
+@_list_option
 @_port_option
 def standin_worker(
-    name: str, cores: float, memory_gb: float, accelerators: int, port: int
+    name: str,
+    cores: float,
+    memory_gb: float,
+    accelerators: int,
+    rack: str,
+    zone: str,
+    list_url: str | None,
+    port: int,
 ) -> None:
     """Run worker NAME, whose tasks only wait for their run time."""
     from magnoliaglade import standins
@@ -129,13 +165,56 @@
         accelerators=accelerators,
     )
     server = worker.WorkerServer(worker=core, port=port)
-    asyncio.run(_serve(server, lambda: server.address))
+    fields = {
+        "role": "worker",
+        "zone": zone,
+        "rack": rack,
+        "cores": cores,
+        "memory_gb": memory_gb,
+        "accelerators": accelerators,
+    }
+    asyncio.run(
+        _serve(server, lambda: server.address, _Listing(name, list_url, fields))
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Listing:
+    """What a stand-in tells the instance list about itself."""
+
+    name: str
+    url: str | None
+    fields: dict[str, Any]
+
+    async def publish(self, address: str, state: str) -> None:
+        """Adds or updates the instance, if a list was given."""
+        if self.url is None:
+            return
+        client = http.HttpClient(url=self.url)
+        fields = {
+            **self.fields,
+            "instance": self.name,
+            "address": address,
+            "state": state,
+        }
+        await client.call(
+            "POST", "/v1/instances", body=json.dumps(fields).encode()
+        )
+        await client.stop()
 
 
-async def _serve(server: base.Component, address: Callable[[], Any]) -> None:
+async def _serve(
+    server: base.Component,
+    address: Callable[[], Any],
+    listing: _Listing | None = None,
+) -> None:
     await server.start()
     click.echo(address())
+    if listing is not None:
+        await listing.publish(address(), "live")
     await wait_for_signal()
+    if listing is not None:
+        await listing.publish(address(), "leaving")
     await server.stop()
 
 
--- a/magnoliaglade/peers/_stream.py
+++ b/magnoliaglade/peers/_stream.py
@@ -126,7 +126,8 @@
         if frame.in_reply_to:
             future = self._pending.pop(frame.in_reply_to, None)
             if future is None:
-                self.counts["late_replies"] += 1
+                # Heartbeats are acknowledged by empty replies.
+                self.counts["late_replies"] += bool(frame.type)
             elif not future.done():
                 future.set_result(frame)
             return
--- a/magnoliaglade/platform/__init__.py
+++ b/magnoliaglade/platform/__init__.py
@@ -1,7 +1,10 @@
 """Interfaces to the platform's workers and instance list, and HTTP clients."""
 
 from magnoliaglade.platform import codec, instance_list, worker
-from magnoliaglade.platform._http_instance_list import HttpInstanceList
+from magnoliaglade.platform._http_instance_list import (
+    HttpInstanceList,
+    decode_listed,
+)
 from magnoliaglade.platform._http_worker import HttpWorker
 from magnoliaglade.platform._inventory import InstanceInventory
 
@@ -10,6 +13,7 @@
     "HttpWorker",
     "InstanceInventory",
     "codec",
+    "decode_listed",
     "instance_list",
     "worker",
 ]
--- a/magnoliaglade/platform/_http_instance_list.py
+++ b/magnoliaglade/platform/_http_instance_list.py
@@ -34,12 +34,17 @@
                 raise instance_list.InstanceListError(
                     f"the instance list answered {reply.status}"
                 )
-            return [_decode(i) for i in reply.json()["instances"]]
+            return [decode_listed(i) for i in reply.json()["instances"]]
         except (http.HttpClientError, KeyError, TypeError, ValueError) as error:
             raise instance_list.InstanceListError(str(error)) from error
 
 
-def _decode(fields: dict[str, Any]) -> instance_list.ListedInstance:
+def decode_listed(fields: dict[str, Any]) -> instance_list.ListedInstance:
+    """Builds a listed instance from the fields of the answer.
+
+    Raises:
+        KeyError, TypeError, ValueError: a field is missing or malformed.
+    """
     return instance_list.ListedInstance(
         instance=InstanceId(fields["instance"]),
         role=instance_list.InstanceRole(fields["role"]),
--- a/magnoliaglade/standins/instance_list.py
+++ b/magnoliaglade/standins/instance_list.py
@@ -6,11 +6,12 @@
 """
 
 import dataclasses
+import json
 from typing import Any
 
 import blacksheep
 
-from magnoliaglade import base, http
+from magnoliaglade import base, http, platform
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.platform import instance_list
 from magnoliaglade.types import InstanceId
@@ -18,6 +19,7 @@
 __all__ = ["InstanceListServer"]
 
 Listed = instance_list.ListedInstance
+_MAX_BODY_BYTES = 65_536
 
 
 class InstanceListServer(base.Component):
@@ -45,6 +47,7 @@
             ),
             host=host,
             port=port,
+            stop_timeout_s=1.0,
         )
 
     @property
@@ -86,16 +89,11 @@
         return http.json_response(200, {"instances": found})
 
     async def _post(self, request: blacksheep.Request) -> blacksheep.Response:
-        fields = await request.json()
-        self.put(
-            Listed(
-                **{
-                    **fields,
-                    "role": instance_list.InstanceRole(fields["role"]),
-                    "state": instance_list.InstanceState(fields["state"]),
-                }
-            )
-        )
+        body = await http.read_body(request, max_bytes=_MAX_BODY_BYTES)
+        try:
+            self.put(platform.decode_listed(json.loads(body)))
+        except (KeyError, TypeError, ValueError) as error:
+            return http.json_response(400, {"reason": repr(error)})
         return http.json_response(200, {})
 
 
--- a/magnoliaglade/standins/store.py
+++ b/magnoliaglade/standins/store.py
@@ -40,7 +40,10 @@
         self.memory = store_lib.InMemoryStore(clock=clock)
         self.faults = _faulty_store.FaultyStore(store=self.memory, clock=clock)
         self._server = http.HttpServer(
-            application=self._application(), host=host, port=port
+            application=self._application(),
+            host=host,
+            port=port,
+            stop_timeout_s=1.0,
         )
 
     @property
--- a/magnoliaglade/standins/worker.py
+++ b/magnoliaglade/standins/worker.py
@@ -46,7 +46,10 @@
         }
         routes[("POST", "/v1/fence")] = self._fence
         self._server = http.HttpServer(
-            application=http.new_application(routes), host=host, port=port
+            application=http.new_application(routes),
+            host=host,
+            port=port,
+            stop_timeout_s=1.0,
         )
 
     @property
