Add quarantine, zone moves and return ramp; enable consolidation

Cause: bad workers, removed zones and waiting large gangs had no decision.

Change: Quarantine separates bad workers from bad jobs, with probation and a cap on attempts; plan_zone_removal and with_return_ramp; consolidation only when the free accelerators suffice in sum; one reservation; small gangs reclaim after 30 s and only below their account's guarantee.

Conclusion: consolidation is on by default.

--- a/magnoliaglade/scheduling/__init__.py
+++ b/magnoliaglade/scheduling/__init__.py
@@ -31,6 +31,16 @@
     WorkerState,
 )
 from magnoliaglade.scheduling._plan import apply_plan, decide
+from magnoliaglade.scheduling._quarantine import (
+    Quarantine,
+    RetryVerdict,
+    TaskOutcome,
+)
+from magnoliaglade.scheduling._zone_moves import (
+    ZoneMove,
+    plan_zone_removal,
+    with_return_ramp,
+)
 from magnoliaglade.scheduling.base import Policy
 
 __all__ = [
@@ -52,17 +62,23 @@
     "Policy",
     "Priority",
     "QuantileEstimator",
+    "Quarantine",
     "Refusal",
     "RefusalReason",
     "Reservation",
+    "RetryVerdict",
     "RunTimeEstimator",
     "RunningGang",
     "SchedulingError",
     "Shape",
+    "TaskOutcome",
     "Worker",
     "WorkerState",
+    "ZoneMove",
     "apply_plan",
     "bind_guarantees",
     "decide",
     "memory_action",
+    "plan_zone_removal",
+    "with_return_ramp",
 ]
--- a/magnoliaglade/scheduling/_cells.py
+++ b/magnoliaglade/scheduling/_cells.py
@@ -157,6 +157,13 @@
         used = self._fixed[zone][account]
         return {w: n - used[w] for w, n in cells.items() if n > used[w]}
 
+    def guaranteed(self, account: AccountId) -> int:
+        """Returns the accelerators in all cells of the account."""
+        zones = self.zones_of(account)
+        return sum(
+            sum(self.layout(z).cells.get(account, {}).values()) for z in zones
+        )
+
     def zones_of(self, account: AccountId) -> list[ZoneId]:
         """Returns the zones in which the account has guaranteed cells."""
         return [
--- a/magnoliaglade/scheduling/_cells_policy.py
+++ b/magnoliaglade/scheduling/_cells_policy.py
@@ -21,7 +21,7 @@
 # Small work ends soon and makes room without a restart; only after this wait
 # does a small gang evict borrowers from its account's cells. At once, small
 # gangs of equal rank evict each other in every burst.
-RECLAIM_SMALL_AFTER_S = 120.0
+RECLAIM_SMALL_AFTER_S = 30.0
 
 
 @kernel.register("policy", "cells")
@@ -43,7 +43,7 @@
         self,
         *,
         searches_max: int = _SEARCHES_MAX,
-        consolidate: bool = False,
+        consolidate: bool = True,
     ) -> None:
         self.searches_max = searches_max
         self.consolidate = consolidate
@@ -166,11 +166,18 @@
         return False
 
     def _may_reclaim(self, gang: _model.Gang) -> bool:
-        return (
-            _order.is_large(gang)
-            or gang.priority is _model.Priority.URGENT
-            or self._waited_s(gang) >= RECLAIM_SMALL_AFTER_S
-        )
+        """Tells whether the gang may evict borrowers from its cells.
+
+        Small gangs may only while the account, with what it borrows, has
+        less than its guarantee; its borrowed places serve them as well.
+        """
+        if _order.is_large(gang) or gang.priority is _model.Priority.URGENT:
+            return True
+        if self._waited_s(gang) < RECLAIM_SMALL_AFTER_S:
+            return False
+        used = self._usage.accelerators(gang.account)
+        need = gang.tasks * gang.shape.accelerators
+        return used + need <= self._ledger.guaranteed(gang.account)
 
     def _is_overdue(self, gang: _model.Gang) -> bool:
         return (
--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -77,8 +77,14 @@
         """Makes room for a large gang by moving small borrowers away.
 
         Only gangs that continue from a checkpoint and hold at most a quarter
-        of the accelerators are moved, and none for the third time.
+        of the accelerators are moved, and none for the third time. There
+        must be enough free accelerators in sum: without them the moved gangs
+        would wait, which cost small work more than large work gained.
         """
+        free = self.capacity.free
+        total = sum(free[w][2] for w in self.capacity.usable)
+        if total < gang.tasks * gang.shape.accelerators:
+            return None
         limits = dict.fromkeys(self.capacity.usable, gang.tasks)
         size = gang.tasks * gang.shape.accelerators
 
--- a/magnoliaglade/scheduling/_reserve.py
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -7,12 +7,12 @@
 
 # Workers held for more gangs than this would stand idle for long, as the
 # ends of running work are only estimates.
-RESERVATIONS_MAX = 2
+RESERVATIONS_MAX = 1
 
 # Multiple of the expected run time that a backfilled gang must have until
-# the reservation is due: half of all gangs outrun a median estimate, and each
-# of these would put the reservation off.
-_BACKFILL_RUNS = 2.0
+# the reservation is due. A margin of 2 left workers idle for longer and made
+# small work wait longer in bench_jobs.
+_BACKFILL_RUNS = 1.0
 
 
 class Reserver:
