Reduce the cost of placement and of the search for victims

Cause: starts and evictions at 3,800 workers passed over all members of every zone, and each single victim was tried where none was sufficient.

Change: the group is chosen by its total of slots; single victims are tried only if the largest is sufficient; bench_decisions measures start, wait, evict and a queue.

--- a/benchmarks/_virtual.py
+++ b/benchmarks/_virtual.py
@@ -5,6 +5,7 @@
 import itertools
 
 from benchmarks import _workloads
+from magnoliaglade import configuration as configuration_lib
 from magnoliaglade import scheduling
 from magnoliaglade.types import ZoneId
 
@@ -115,19 +116,22 @@
 
     def _on_zones(self, zones) -> None:
         self._set_zones(zones)
-        gone = {
-            job: r
-            for job, r in self.snapshot.running.items()
-            if any(
-                self.snapshot.workers[w].zone not in zones
-                for w, _ in r.placement.assignments
+        self._change(now_s=self.now_s)
+        moved = [
+            job
+            for zone in self.deployment.zones
+            if zone not in zones
+            for job in scheduling.plan_zone_removal(
+                self.snapshot,
+                ZoneId(zone),
+                policy=configuration_lib.ZonePolicy.CHECKPOINT,
+            ).checkpoint
+        ]
+        self._apply(
+            scheduling.Plan(
+                evictions=tuple(scheduling.Eviction(job=j) for j in moved)
             )
-            and not r.gang.at_most_once
-        }
-        plan = scheduling.Plan(
-            evictions=tuple(scheduling.Eviction(job=j) for j in gone)
         )
-        self._apply(plan)
 
     def _set_zones(self, zones) -> None:
         configuration = _workloads.make_configuration(self.deployment, zones)
--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -112,18 +112,65 @@
 
 
 def make_gang(tasks: int, **kwargs) -> scheduling.Gang:
-    """Returns the waiting gang: one accelerator a task, any zone."""
+    """Returns the waiting gang: one accelerator a task, in one zone."""
     return scheduling.Gang(
         job=JobId("gang"),
         account=AccountId("a0"),
         tasks=tasks,
         shape=scheduling.Shape(cores=8, memory_gb=16, accelerators=1),
-        adjacency=scheduling.Adjacency.ANY,
+        adjacency=scheduling.Adjacency.ZONE,
         submitted_at_s=0.0,
         **kwargs,
     )
 
 
+def with_borrowers(
+    snapshot: scheduling.ClusterSnapshot,
+) -> scheduling.ClusterSnapshot:
+    """Returns the snapshot with all accelerators held by borrowers."""
+    running = dict(snapshot.running)
+    for n, (w, worker) in enumerate(sorted(snapshot.workers.items())):
+        gang = scheduling.Gang(
+            job=JobId(f"b{n}"),
+            account=AccountId(f"a{n % 64}"),
+            tasks=worker.shape.accelerators,
+            shape=scheduling.Shape(cores=1, memory_gb=1, accelerators=1),
+        )
+        placement = scheduling.Placement(
+            job=gang.job, assignments=((w, gang.tasks),), borrowed=True
+        )
+        running[gang.job] = scheduling.RunningGang(
+            gang=gang, placement=placement, started_at_s=float(n)
+        )
+    return dataclasses.replace(snapshot, running=running)
+
+
+def make_cases(snapshot: scheduling.ClusterSnapshot, size: int) -> dict:
+    """Returns snapshots by case: start, wait and evict one gang; a queue."""
+    full = with_borrowers(snapshot)
+    urgent = scheduling.Priority.URGENT
+    queue = tuple(
+        dataclasses.replace(
+            make_gang(1 + n % 8),
+            job=JobId(f"q{n}"),
+            account=AccountId(f"a{n % 64}"),
+            submitted_at_s=1e6 - n,
+        )
+        for n in range(size)
+    )
+    gang = make_gang(size)
+    cases = {
+        "start": (snapshot, (gang,)),
+        "wait": (full, (gang,)),
+        "evict": (full, (dataclasses.replace(gang, priority=urgent),)),
+        "queue": (snapshot, queue),
+    }
+    return {
+        name: dataclasses.replace(s, pending=pending)
+        for name, (s, pending) in cases.items()
+    }
+
+
 def median_ms(snapshot: scheduling.ClusterSnapshot, policy: str) -> float:
     """Returns the median time of a decision in milliseconds."""
     times = []
@@ -136,32 +183,30 @@
 
 
 def run(seed: int) -> list[dict]:
-    """Returns the figures for one seed."""
+    """Returns the figures for one seed.
+
+    The gang has 256 tasks at the target size and fewer on small clusters,
+    where it must fit into one zone.
+    """
     rows, costs = [], {}
     for workers, tasks in SIZES:
         snapshot = make_snapshot(workers, tasks, random.Random(seed))
-        gang = make_gang(min(_GANG, workers // 3))
-        snapshot = dataclasses.replace(snapshot, pending=(gang,))
-        for policy in ("cells", "first-fit"):
-            costs[policy, workers] = median_ms(snapshot, policy)
-        rows.append(
-            figure(
-                f"cost_{workers}_workers",
-                "ms",
-                costs["cells", workers],
-                costs["first-fit", workers],
-                seed,
-            )
-        )
+        size = min(_GANG, workers)
+        for case, prepared in make_cases(snapshot, size).items():
+            pair = [median_ms(prepared, p) for p in ("cells", "first-fit")]
+            costs[case, workers] = pair
+            name = f"{case}_{workers}_workers"
+            rows.append(figure(name, "ms", *pair, seed))
     for (small, _), (large, _) in zip(SIZES, SIZES[1:], strict=False):
-        slopes = [
-            math.log(costs[p, large] / costs[p, small])
-            / math.log(large / small)
-            for p in ("cells", "first-fit")
-        ]
-        rows.append(
-            figure(f"slope_{small}_to_{large}", "exponent", *slopes, seed)
-        )
+        for case in ("start", "wait", "evict", "queue"):
+            slopes = [
+                math.log(b / a) / math.log(large / small)
+                for a, b in zip(
+                    costs[case, small], costs[case, large], strict=True
+                )
+            ]
+            name = f"{case}_slope_{small}_to_{large}"
+            rows.append(figure(name, "exponent", *slopes, seed))
     return rows
 
 
--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -116,24 +116,38 @@
                 workers first; otherwise take workers in order of their id.
         """
         table = self._table(gang.shape)
-        best: tuple[tuple, list[WorkerId]] | None = None
-        adjacency = gang.adjacency
-        if gang.tasks == 1:
-            adjacency = _model.Adjacency.WORKER
-        for group, total in self._groups(table, adjacency):
-            if total < gang.tasks:
-                continue
+        if gang.tasks == 1 and best_fit:
+            return self._find_single(table, withheld)
+        groups = [
+            (total, n, group)
+            for n, (group, total) in enumerate(
+                self._groups(table, gang.adjacency)
+            )
+            if total >= gang.tasks
+        ]
+        # The group with the fewest sufficient slots is the best fit.
+        for _, _, group in sorted(groups) if best_fit else groups:
             members = self._members(group, table, withheld)
-            if sum(table.workers[w] for w in members) < gang.tasks:
+            if sum(table.workers[w] for w in members) >= gang.tasks:
+                return self.fill(
+                    members, table.workers, gang, best_fit=best_fit
+                )
+        return None
+
+    def _find_single(
+        self, table: _SlotTable, withheld: Collection[WorkerId]
+    ) -> Assignments | None:
+        """Returns the most used worker that holds one task."""
+        best, best_key = None, (math.inf, math.inf)
+        for w, slots in table.workers.items():
+            if not slots or w in withheld:
                 continue
-            if not best_fit:
-                return self.fill(members, table.workers, gang, best_fit=False)
-            key = self._group_key(members)
-            if best is None or key < best[0]:
-                best = (key, members)
-        if best is None:
-            return None
-        return self.fill(best[1], table.workers, gang)
+            cores, _, accelerators = self.free[w]
+            if accelerators <= best_key[0] and (
+                (accelerators, cores) < best_key
+            ):
+                best, best_key = w, (accelerators, cores)
+        return None if best is None else ((best, 1),)
 
     def fits(self, gang: _model.Gang) -> bool:
         """Tells whether the whole gang fits, without placing it."""
@@ -198,14 +212,6 @@
         slots = table.workers
         return [w for w in pool if slots[w] > 0 and w not in withheld]
 
-    def _group_key(self, members: list[WorkerId]) -> tuple:
-        free = self.free
-        return (
-            sum(free[w][2] for w in members),
-            sum(free[w][0] for w in members),
-            members[0],
-        )
-
     def _table(self, shape: _model.Shape) -> _SlotTable:
         table = self._tables.get(shape)
         if table is not None:
--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -248,16 +248,20 @@
 ) -> list[_model.RunningGang] | None:
     """Chooses victims from candidates sorted by preference.
 
-    A single sufficient victim is taken if there is one, the first.
-    Otherwise the largest are taken until the gang fits, and then those that
-    turned out to be unnecessary are put back, the oldest first.
+    If the largest alone is sufficient, the first single one that is
+    sufficient is taken. Otherwise the largest are taken until the gang fits,
+    and then those that turned out to be unnecessary are put back, the oldest
+    first.
     """
     if trial.total >= need:
         return []
-    by_size = sorted(candidates, key=lambda r: -trial.weight(r))
-    if sum(map(trial.weight, by_size)) <= 0:
+    weights = {r.gang.job: trial.weight(r) for r in candidates}
+    by_size = sorted(candidates, key=lambda r: -weights[r.gang.job])
+    if not by_size or weights[by_size[0].gang.job] <= 0:
         return None
-    for victim in candidates:
+    single = trial.add(by_size[0]) >= need
+    trial.add(by_size[0], sign=-1)
+    for victim in candidates if single else ():
         if trial.add(victim) >= need:
             return [victim]
         trial.add(victim, sign=-1)
