Tabulate slots without a list and measure a queue of fixed length

Cause: the slope of the queue case mixed the growth of queue and cluster.

Change: the queue case has 64 gangs at every size; slots_in builds no list.

--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -19,6 +19,7 @@
 SIZES = ((24, 1_000), (240, 10_000), (3_800, 88_000))
 _REPEATS = 9
 _GANG = 256
+_QUEUE = 64
 
 
 def make_workers(count: int) -> dict:
@@ -156,7 +157,7 @@
             account=AccountId(f"a{n % 64}"),
             submitted_at_s=1e6 - n,
         )
-        for n in range(size)
+        for n in range(_QUEUE)
     )
     gang = make_gang(size)
     cases = {
--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -24,16 +24,17 @@
     cores: float, memory_gb: float, accelerators: int, shape: _model.Shape
 ) -> int:
     """Returns how many tasks of `shape` fit into the given resources."""
-    counts = []
-    if shape.accelerators > 0:
-        counts.append(accelerators // shape.accelerators)
+    # A task that declares nothing counts as one accelerator, because
+    # unlimited slots would hide a missing declaration.
+    size = shape.accelerators
+    slots = accelerators // size if size > 0 else math.inf
     if shape.cores > 0:
-        counts.append(int((cores + _EPSILON) // shape.cores))
+        slots = min(slots, (cores + _EPSILON) // shape.cores)
     if shape.memory_gb > 0:
-        counts.append(int((memory_gb + _EPSILON) // shape.memory_gb))
-    # A task that declares nothing still counts as one accelerator's worth,
-    # because unlimited slots would hide a missing declaration.
-    return max(0, min(counts, default=max(accelerators, 1)))
+        slots = min(slots, (memory_gb + _EPSILON) // shape.memory_gb)
+    if slots == math.inf:
+        slots = max(accelerators, 1)
+    return int(slots) if slots > 0 else 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
