Count memory and cores of borrowers when choosing victims

Cause: a borrower without accelerators weighed nothing, so a guaranteed cell whose memory it held was not reclaimed. The property test found it once it drew workers of different sizes.

Change: victims weigh their largest share of a worker.

--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from magnoliaglade.scheduling import _capacity, _cells, _model
@@ -78,8 +79,9 @@
 
         Only gangs that continue from a checkpoint and hold at most a quarter
         of the accelerators are moved, and none for the third time. There
-        must be enough free accelerators in sum: without them the moved gangs
-        would wait, which cost small work more than large work gained.
+        must be enough free accelerators in sum: without this condition the
+        moved gangs wait, and small work was slower in bench_jobs than with
+        first-fit.
         """
         free = self.capacity.free
         total = sum(free[w][2] for w in self.capacity.usable)
@@ -189,14 +191,22 @@
         return self.total
 
     def weight(self, victim: _model.RunningGang) -> float:
-        """Returns how much of the needed resources a victim holds here."""
-        shape = victim.gang.shape
-        tasks = sum(
-            n for w, n in victim.placement.assignments if w in self._set
-        )
-        if self.shape.accelerators:
-            return tasks * shape.accelerators
-        return tasks * shape.cores
+        """Returns how many workers' worth a victim holds in the group.
+
+        The scarcest resource counts, as a borrower without accelerators can
+        hold the memory that the accelerators need.
+        """
+        shape, total = victim.gang.shape, 0.0
+        for w, count in victim.placement.assignments:
+            if w not in self._set:
+                continue
+            whole = self.capacity.workers[w].shape
+            total += count * max(
+                shape.accelerators / (whole.accelerators or math.inf),
+                shape.cores / (whole.cores or math.inf),
+                shape.memory_gb / (whole.memory_gb or math.inf),
+            )
+        return total
 
     def _count(self, worker: WorkerId) -> int:
         slots = _capacity.slots_in(*self._free[worker], self.shape)
--- a/magnoliaglade/scheduling/_reserve.py
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -10,8 +10,8 @@
 RESERVATIONS_MAX = 1
 
 # Multiple of the expected run time that a backfilled gang must have until
-# the reservation is due. A margin of 2 left workers idle for longer and made
-# small work wait longer in bench_jobs.
+# the reservation is due. With a margin of 2 small work took slightly longer in
+# bench_jobs.
 _BACKFILL_RUNS = 1.0
 
 
