--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from magnoliaglade.scheduling import _capacity, _cells, _model
@@ -77,8 +78,15 @@
         """Makes room for a large gang by moving small borrowers away.
 
         Only gangs that continue from a checkpoint and hold at most a quarter
-        of the accelerators are moved, and none for the third time.
+        of the accelerators are moved, and none for the third time. There
+        must be enough free accelerators in sum: without this condition the
+        moved gangs wait, and small work was slower in bench_jobs than with
+        first-fit.
         """
+        free = self.capacity.free
+        total = sum(free[w][2] for w in self.capacity.usable)
+        if total < gang.tasks * gang.shape.accelerators:
+            return None
         limits = dict.fromkeys(self.capacity.usable, gang.tasks)
         size = gang.tasks * gang.shape.accelerators
 
@@ -183,14 +191,22 @@
         return self.total
 
     def weight(self, victim: _model.RunningGang) -> float:
-        """Returns how much of the needed resources a victim holds here."""
-        shape = victim.gang.shape
-        tasks = sum(
-            n for w, n in victim.placement.assignments if w in self._set
-        )
-        if self.shape.accelerators:
-            return tasks * shape.accelerators
-        return tasks * shape.cores
+        """Returns how many workers' worth a victim holds in the group.
+
+        The scarcest resource counts, as a borrower without accelerators can
+        hold the memory that the accelerators need.
+        """
+        shape, total = victim.gang.shape, 0.0
+        for w, count in victim.placement.assignments:
+            if w not in self._set:
+                continue
+            whole = self.capacity.workers[w].shape
+            total += count * max(
+                shape.accelerators / (whole.accelerators or math.inf),
+                shape.cores / (whole.cores or math.inf),
+                shape.memory_gb / (whole.memory_gb or math.inf),
+            )
+        return total
 
     def _count(self, worker: WorkerId) -> int:
         slots = _capacity.slots_in(*self._free[worker], self.shape)
@@ -242,16 +258,20 @@
 ) -> list[_model.RunningGang] | None:
     """Chooses victims from candidates sorted by preference.
 
-    A single sufficient victim is taken if there is one, the first.
-    Otherwise the largest are taken until the gang fits, and then those that
-    turned out to be unnecessary are put back, the oldest first.
+    If the largest alone is sufficient, the first single one that is
+    sufficient is taken. Otherwise the largest are taken until the gang fits,
+    and then those that turned out to be unnecessary are put back, the oldest
+    first.
     """
     if trial.total >= need:
         return []
-    by_size = sorted(candidates, key=lambda r: -trial.weight(r))
-    if sum(map(trial.weight, by_size)) <= 0:
+    weights = {r.gang.job: trial.weight(r) for r in candidates}
+    by_size = sorted(candidates, key=lambda r: -weights[r.gang.job])
+    if not by_size or weights[by_size[0].gang.job] <= 0:
         return None
-    for victim in candidates:
+    single = trial.add(by_size[0]) >= need
+    trial.add(by_size[0], sign=-1)
+    for victim in candidates if single else ():
         if trial.add(victim) >= need:
             return [victim]
         trial.add(victim, sign=-1)
