Keep restarts of an outage and clear ended tasks everywhere

Cause: mutations of the code showed that a gang restarted under grants was stopped by a successor whose log named the attempt before it, and that ended tasks on a worker that had been cut off stayed there. Change: the newest reported attempt counts; workers with ended tasks are visited in the next round until these are released. Tests for both, for held at-most-once gangs, late workers and results known only to the owner.

--- a/magnoliaglade/execution/_attempts.py
+++ b/magnoliaglade/execution/_attempts.py
@@ -266,8 +266,7 @@
         self._set_ended(gang)
         for worker in gang.members:
             self.hooks.on_outcome(worker, gang.job, True)
-        if is_written:
-            await self._stopper.release(gang.launch)
+        await self._clear(gang, is_written)
 
     async def _end(
         self,
@@ -285,8 +284,15 @@
         if cause is not None:
             is_written = await self._record_failure(gang, cause, detail)
         self._set_ended(gang)
+        await self._clear(gang, is_written)
+
+    async def _clear(self, gang: _gangs.ActiveGang, is_written: bool) -> None:
+        # What ended stays at the workers until its record is in the log, since
+        # a successor would otherwise not learn of it.
         if is_written:
             await self._stopper.release(gang.launch)
+        else:
+            self.renewal.visit(gang.members)
 
     def _set_ended(self, gang: _gangs.ActiveGang) -> None:
         attempts = self._ending.get(gang.job, {})
@@ -361,9 +367,10 @@
     async def _clear_orphan(
         self, worker: WorkerId, job: JobId, attempt: int, holds_room: bool
     ) -> None:
-        # What ended stays at the worker until its record is in the log, since
-        # a successor would otherwise not learn of it.
-        if not holds_room and self.journal.deferred_count:
+        is_kept = not holds_room and self.journal.deferred_count > 0
+        if holds_room or is_kept:
+            self.renewal.visit((worker,))
+        if is_kept:
             return
 
         def send(
--- a/magnoliaglade/execution/_renewal.py
+++ b/magnoliaglade/execution/_renewal.py
@@ -45,6 +45,7 @@
         self.on_orphan = on_orphan
         self._gangs: dict[JobId, _gangs.ActiveGang] = {}
         self._unreached: set[WorkerId] = set()
+        self._visits: set[WorkerId] = set()
 
     @property
     def gangs(self) -> dict[JobId, _gangs.ActiveGang]:
@@ -68,6 +69,10 @@
         """Asks a worker in each round until it answers."""
         self._unreached.add(worker)
 
+    def visit(self, workers: Iterable[WorkerId]) -> None:
+        """Asks workers in the next round, to clear what ended there."""
+        self._visits.update(workers)
+
     async def round(self) -> None:
         """Renews every gang once and acts on what the workers report.
 
@@ -76,7 +81,8 @@
             StaleEpochError: another owner has fenced a worker.
         """
         kept = _gangs.jobs_by_worker(self._gangs.values())
-        workers = kept.keys() | self._unreached
+        workers = kept.keys() | self._unreached | self._visits
+        self._visits.clear()
 
         def send(worker: WorkerId) -> _calls.Send:
             return lambda client, epoch: client.renew(
--- a/magnoliaglade/execution/_takeover.py
+++ b/magnoliaglade/execution/_takeover.py
@@ -9,6 +9,7 @@
 
 Reports = dict[WorkerId, worker_lib.WorkerReport]
 
+_STARTABLE = (_records.JobPhase.PENDING, _records.JobPhase.ACTIVE)
 _ALIVE = (worker_lib.TaskPhase.RUNNING, worker_lib.TaskPhase.FINISHED)
 
 
@@ -55,14 +56,31 @@
             until now.
     """
     plan = TakeoverPlan()
+    reported = _reported(reports)
+    newest: dict[JobId, int] = {}
+    for job, attempt in reported:
+        newest[job] = max(attempt, newest.get(job, 0))
     known = set()
     for entry in table.in_phase(_records.JobPhase.ACTIVE):
+        # A restart under grants may have no record yet; the attempt before
+        # it has ended then.
+        if newest.get(entry.job, 0) > entry.attempt:
+            continue
         known.add((entry.job, entry.attempt))
         _plan_active(plan, entry, reports, now_s)
-    for (job, attempt), counts in _reported(reports).items():
+    for (job, attempt), counts in reported.items():
         if (job, attempt) in known:
             continue
-        _plan_unknown(plan, table, job, attempt, counts, reports, now_s)
+        entry = table.get(job)
+        is_newer = (
+            entry is not None
+            and entry.phase in _STARTABLE
+            and attempt > entry.attempt
+            and attempt == newest[job]
+        )
+        launch = _make_launch(entry, job, attempt, counts)
+        gang = _gangs.make_gang(launch, now_s=now_s, reports=reports)
+        _plan_unknown(plan, gang, is_newer=is_newer)
     return plan
 
 
@@ -97,39 +115,36 @@
 
 
 def _plan_unknown(
-    plan: TakeoverPlan,
-    table: _table.JobTable,
-    job: JobId,
-    attempt: int,
-    counts: dict[WorkerId, int],
-    reports: Reports,
-    now_s: float,
+    plan: TakeoverPlan, gang: _gangs.ActiveGang, *, is_newer: bool
 ) -> None:
-    entry = table.get(job)
-    placement = scheduling.Placement(
-        job=job, assignments=tuple(sorted(counts.items()))
-    )
-    is_newer = (
-        entry is not None
-        and entry.phase is _records.JobPhase.PENDING
-        and attempt > entry.attempt
-    )
-    spec = entry.spec if entry is not None else _placeholder(job)
-    launch = _launch.Launch(
-        spec=spec, attempt=attempt, checkpoint="", placement=placement
-    )
-    gang = _gangs.make_gang(launch, now_s=now_s, reports=reports)
     if not is_newer:
         plan.endings.append(Ending(gang=gang, cause=None))
         return
+    spec = gang.launch.spec.gang
     alive = sum(m.count_in(*_ALIVE) for m in gang.members.values())
-    if alive == spec.gang.tasks and not spec.gang.at_most_once:
+    if alive == spec.tasks and not spec.at_most_once:
         plan.unrecorded.append(gang)
         return
     cause = _records.FailureCause.OWNER_LOST
     plan.endings.append(Ending(gang=gang, cause=cause))
 
 
+def _make_launch(
+    entry: _records.JobEntry | None,
+    job: JobId,
+    attempt: int,
+    counts: dict[WorkerId, int],
+) -> _launch.Launch:
+    return _launch.Launch(
+        spec=entry.spec if entry is not None else _placeholder(job),
+        attempt=attempt,
+        checkpoint="",
+        placement=scheduling.Placement(
+            job=job, assignments=tuple(sorted(counts.items()))
+        ),
+    )
+
+
 def _is_held_whole(gang: _gangs.ActiveGang) -> bool:
     held = worker_lib.TaskPhase.HELD
     return all(m.count_in(held) == m.count for m in gang.members.values())
--- a/magnoliaglade/execution/tests/test_launch.py
+++ b/magnoliaglade/execution/tests/test_launch.py
@@ -8,6 +8,12 @@
 from magnoliaglade.execution.tests import harness
 from magnoliaglade.types import WorkerId
 
+_BEFORE_ACTIVATION = (
+    execution.LaunchStep.RESERVE,
+    execution.LaunchStep.DECIDE,
+    execution.LaunchStep.COMMIT,
+)
+
 
 class Fixture:
     """A launcher with two workers; the gang has one task on each."""
@@ -86,6 +92,9 @@
 
         await fixture.open(on_step=on_step)
         result = await fixture.launch()
+        if fault in ("zone", "cancel") and step in _BEFORE_ACTIVATION:
+            for worker in fixture.cluster.workers.values():
+                assert (worker._reservations, worker._tasks) == ({}, {})
         await fixture.cluster.clock.advance(execution.TASK_LEASE_TTL_S)
         passes = step is execution.LaunchStep.CONFIRM and fault == "zone"
         if passes:
@@ -97,11 +106,7 @@
             # or the caller of the launch stops it.
             bound_s = 20.0 if is_confirming and fault == "cut" else 3.0
             assert fixture.cluster.partial_s("j") <= bound_s
-        if step in (
-            execution.LaunchStep.RESERVE,
-            execution.LaunchStep.DECIDE,
-            execution.LaunchStep.COMMIT,
-        ):
+        if step in _BEFORE_ACTIVATION:
             assert fixture.cluster.runs("j") == []
         await fixture.node.close()
 
--- a/magnoliaglade/execution/tests/test_owner.py
+++ b/magnoliaglade/execution/tests/test_owner.py
@@ -28,9 +28,13 @@
     async def test_result_needs_every_member(self):
         """Guards against a result of part of a gang."""
         cluster, node = await make_owner()
-        await submit(node, "j", tasks=4, command=("sleep", "7"))
+        await submit(node, "j", tasks=4, command=("sleep", "7"), run_s=6)
         assert len(cluster.running("j")) == 4
-        await cluster.clock.advance(12)
+        node.links["w1"].is_cut = True
+        await cluster.clock.advance(6)
+        assert node.phase("j") is PHASE.ACTIVE
+        node.links["w1"].is_cut = False
+        await cluster.clock.advance(5)
         assert node.phase("j") is PHASE.FINISHED
         assert {ok for _, _, ok in node.outcomes} == {True}
         reports = [w._tasks for w in cluster.workers.values()]
--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from magnoliaglade import execution
+from magnoliaglade import execution, scheduling
 from magnoliaglade import store as store_lib
 from magnoliaglade.execution.tests import harness
-from magnoliaglade.types import JobId
+from magnoliaglade.types import JobId, WorkerId
 
 PHASE = execution.JobPhase
 # A takeover is complete 5 s after the owner failed, and the slowest start or
@@ -135,7 +135,8 @@
         assert len(cluster.runs("j")) == 4
         await new.close()
 
-    async def test_result_outlives_the_owner(self):
+    @pytest.mark.parametrize("is_down", [False, True])
+    async def test_result_outlives_the_owner(self, is_down):
         """Guards against a finished job that runs again."""
         cluster = harness.Cluster()
         old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
@@ -143,6 +144,10 @@
         spec = harness.make_spec("j", tasks=4, command=("sleep", "3"))
         await old.owner.submit(spec)
         await cluster.clock.advance(1)
+        if is_down:
+            # The result is known to the owner, and not yet in the log.
+            old.store.is_down = old.has_grants = True
+            await cluster.clock.advance(18)
         await old.close()
         await cluster.clock.advance(10)
         await new.own()
@@ -151,6 +156,46 @@
         assert len(cluster.runs("j")) == 4
         await new.close()
 
+    async def test_held_at_most_once_gang_starts_later(self):
+        """Guards against a job given up that certainly has not run."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+
+        async def on_step(step, _):
+            if step is execution.LaunchStep.ACTIVATE:
+                await old.ownership.release(old.owner.owned)
+                await asyncio.Event().wait()
+
+        await old.own(on_step=on_step)
+        await old.owner.submit(harness.make_spec("j", at_most_once=True))
+        await cluster.clock.advance(0.1)
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(20)
+        assert set(cluster.attempts("j")) == {2}
+        assert len(cluster.running("j")) == 2
+        await new.close()
+
+    async def test_cancelled_tasks_on_a_late_worker_are_stopped(self):
+        """Guards against tasks of an ended job that hold a worker."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(harness.make_spec("j"))
+        await cluster.clock.advance(7)
+        old.links["w0"].is_cut = new.links["w0"].is_cut = True
+        await old.owner.cancel(JobId("j"))
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(1)
+        assert len(cluster.running("j")) == 2
+        new.links["w0"].is_cut = False
+        await cluster.clock.advance(5)
+        assert cluster.running("j") == []
+        await cluster.clock.advance(15)
+        assert cluster.workers["w0"]._tasks == {}
+        await new.close()
+
     async def test_graceful_handover(self):
         """Guards against a planned stop that interrupts running tasks."""
         cluster = harness.Cluster()
@@ -179,6 +224,7 @@
         old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
         await old.own()
         await old.owner.submit(harness.make_spec("j"))
+        await old.owner.submit(harness.make_spec("p", tasks=4))
         await cluster.clock.advance(3)
         # The pause: no renewal of the lease, and none of the loops run.
         old.lease._task.cancel()
@@ -194,6 +240,10 @@
         term = old.owner._term
         gang = term.attempts.renewal.gangs[JobId("j")]
         term.attempts.end(gang, execution.FailureCause.EVICTED)
+        placement = scheduling.Placement(
+            job=JobId("p"), assignments=((WorkerId("w1"), 2),)
+        )
+        term.attempts.start(old.owner.jobs.get(JobId("p")), placement)
         await cluster.clock.advance(1)
         assert old.owner.is_lost
         old.owner._is_lost = False
@@ -202,7 +252,8 @@
         with pytest.raises(execution.NotRunError):
             await old.owner.cancel(entry.job)
         await cluster.clock.advance(10)
-        assert len(cluster.running("j")) == 2
+        assert len(cluster.running("j")) == len(cluster.runs("j")) == 2
+        assert cluster.runs("p") == []
         assert new.phase("j") is PHASE.ACTIVE
         assert new.owner.jobs.get(JobId("k")) is None
         await new.close()
@@ -267,9 +318,10 @@
         assert len(cluster.runs("j")) == 2
         await successor.close()
 
-    async def test_successor_adopts_an_unrecorded_gang(self):
-        """Guards against a second start of a gang started under grants."""
-        cluster = harness.Cluster()
+    @pytest.mark.parametrize("is_cut", [False, True])
+    async def test_successor_of_an_unrecorded_gang(self, is_cut):
+        """Guards against a second run of a gang started under grants."""
+        cluster = harness.Cluster(workers=4)
         old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
         old.startable = frozenset()
         await old.own()
@@ -279,12 +331,39 @@
         await cluster.clock.advance(8)
         assert len(cluster.running("j")) == 2
         await old.close()
+        new.links["w0"].is_cut = is_cut
         await new.own()
-        await cluster.clock.advance(30)
-        assert len(cluster.runs("j")) == 2
+        await cluster.clock.advance(45)
+        assert len(cluster.runs("j")) == (4 if is_cut else 2)
+        assert len(cluster.running("j")) == 2
+        assert not cluster.overlaps("j")
         assert new.phase("j") is PHASE.ACTIVE
         await new.close()
 
+    @pytest.mark.parametrize("is_killed", [False, True])
+    async def test_restart_during_the_outage_is_kept(self, is_killed):
+        """Guards against a restarted gang that is stopped or forgotten."""
+        cluster = harness.Cluster(workers=3)
+        node = harness.Node(cluster, "a")
+        await node.own()
+        await node.owner.submit(harness.make_spec("j"))
+        await cluster.clock.advance(3)
+        node.store.is_down = node.has_grants = True
+        await cluster.clock.advance(5)
+        cluster.workers["w0"].crash()
+        await cluster.clock.advance(40)
+        assert {r.attempt for r in cluster.running("j")} == {2}
+        if is_killed:
+            await node.close()
+            node = harness.Node(cluster, "b")
+            await node.own()
+        node.store.is_down = node.has_grants = False
+        await cluster.clock.advance(30)
+        assert set(cluster.attempts("j")) == {1, 2}
+        assert len(cluster.running("j")) == 2
+        assert node.owner.status("j").attempt == 2
+        await node.close()
+
     @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests"])
     @pytest.mark.parametrize("write", range(8))
     @pytest.mark.parametrize("count", [1, 4])
