Add renewal delegate

Cause: an owner that fails while the store is down has no successor, and its gangs would end with their leases. Change: the owner sends its running gangs in each renewal round; the delegate renews them under the owner's epoch while the owner is silent, the store does not answer and a majority grants it, and ends otherwise.

--- a/magnoliaglade/execution/__init__.py
+++ b/magnoliaglade/execution/__init__.py
@@ -1,5 +1,10 @@
 """The owner of one scheduling domain and its renewal delegate."""
 
+from magnoliaglade.execution._delegate import (
+    DelegateNotifier,
+    DelegateRenewal,
+    RenewalDelegate,
+)
 from magnoliaglade.execution._errors import (
     ExecutionError,
     ForwardError,
@@ -34,6 +39,8 @@
     "RESERVATION_TTL_S",
     "TASK_LEASE_TTL_S",
     "Accepted",
+    "DelegateNotifier",
+    "DelegateRenewal",
     "DomainOwner",
     "ExecutionError",
     "FailureCause",
@@ -49,6 +56,7 @@
     "OutcomeUnknownError",
     "OwnerHooks",
     "RecordError",
+    "RenewalDelegate",
     "UnknownJobError",
     "decode_record",
     "encode_record",
--- /dev/null
+++ b/magnoliaglade/execution/_attempt_hooks.py
@@ -0,0 +1,31 @@
+"""Callables that connect the attempts of a domain to their owner."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+from magnoliaglade.execution import _launch
+from magnoliaglade.types import JobId, WorkerId
+
+Outcome = Callable[[WorkerId, JobId, bool], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AttemptHooks:
+    """Callables of the surrounding owner.
+
+    Attributes:
+        may_start: whether starts are permitted now.
+        may_start_unrecorded: whether restartable jobs may start although the
+            store does not take their record.
+        on_outcome: told worker, job and success of a task; for quarantine.
+        on_free: told that capacity or a job became available.
+        on_lost: told the error by which another owner showed up.
+        on_step: awaited before each step of a launch, or None.
+    """
+
+    may_start: Callable[[], bool]
+    may_start_unrecorded: Callable[[], bool]
+    on_outcome: Outcome
+    on_free: Callable[[], None]
+    on_lost: Callable[[Exception], None]
+    on_step: Callable[[_launch.LaunchStep, JobId], Awaitable[None]] | None
--- a/magnoliaglade/execution/_attempts.py
+++ b/magnoliaglade/execution/_attempts.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Coroutine
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import scheduling
 from magnoliaglade import store as store_lib
 from magnoliaglade.execution import (
+    _attempt_hooks,
     _calls,
+    _failures,
     _gangs,
     _journal,
     _launch,
@@ -34,27 +36,6 @@
 # Another owner has taken the domain over.
 _LOST = (worker_lib.StaleEpochError, store_lib.LogFencedError)
 
-Outcome = Callable[[WorkerId, JobId, bool], None]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class AttemptHooks:
-    """Callables of the surrounding owner.
-
-    Attributes:
-        may_start: whether starts are permitted now.
-        on_outcome: told worker, job and success of a task; for quarantine.
-        on_free: told that capacity or a job became available.
-        on_lost: told the error by which another owner showed up.
-        on_step: awaited before each step of a launch, or None.
-    """
-
-    may_start: Callable[[], bool]
-    on_outcome: Outcome
-    on_free: Callable[[], None]
-    on_lost: Callable[[Exception], None]
-    on_step: Callable[[_launch.LaunchStep, JobId], Awaitable[None]] | None
-
 
 class Attempts:
     """Everything that holds workers of the domain, one attempt per job."""
@@ -66,7 +47,7 @@
         clock: clock_lib.Clock,
         calls: _calls.WorkerCalls,
         journal: _journal.Journal,
-        hooks: AttemptHooks,
+        hooks: _attempt_hooks.AttemptHooks,
         retries_max: int,
     ) -> None:
         self.domain = domain
@@ -89,6 +70,7 @@
             calls=calls,
             journal=journal,
             may_start=hooks.may_start,
+            may_start_unrecorded=hooks.may_start_unrecorded,
             is_wanted=self._is_wanted,
             on_step=hooks.on_step,
         )
@@ -309,38 +291,18 @@
         entry = self.journal.table.get(gang.job)
         if entry is None:
             return True
-        records: list[_records.Record] = []
-        if gang.checkpoint not in ("", entry.checkpoint):
-            records.append(
-                _records.Checkpointed(
-                    job=gang.job,
-                    attempt=gang.attempt,
-                    checkpoint=gang.checkpoint,
-                )
-            )
-        records.append(
-            _records.Failed(
-                job=gang.job,
-                attempt=gang.attempt,
-                cause=cause,
-                at_s=self.clock.time(),
-                final=self._is_final(entry, cause),
-                detail=detail,
-            )
+        records = _failures.make_records(
+            entry,
+            gang,
+            cause,
+            at_s=self.clock.time(),
+            retries_max=self.retries_max,
+            detail=detail,
         )
         if cause.uses_retry:
             self._back_off(gang.job)
         return await self.journal.write_eventually(*records)
 
-    def _is_final(
-        self, entry: _records.JobEntry, cause: _records.FailureCause
-    ) -> bool:
-        if cause is _records.FailureCause.NOT_STARTED:
-            return False
-        if entry.spec.gang.at_most_once:
-            return True
-        return cause.uses_retry and entry.failures >= self.retries_max
-
     async def _evict(self, gang: _gangs.ActiveGang) -> None:
         try:
             if gang.launch.spec.gang.checkpointable:
--- a/magnoliaglade/execution/_calls.py
+++ b/magnoliaglade/execution/_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import store as store_lib
@@ -22,7 +22,18 @@
 _MAX_CALLS = 64
 
 
-class Authority:
+class Authority(Protocol):
+    """Whether the caller may act now."""
+
+    def check(self) -> Epoch:
+        """Returns the epoch of the call.
+
+        Raises:
+            LeaseLapsedError: the caller may not act.
+        """
+
+
+class OwnerAuthority:
     """Whether the owner may act now: its lease, or grants during an outage.
 
     The holder checks after every await that precedes a side effect.
--- a/magnoliaglade/execution/_gangs.py
+++ b/magnoliaglade/execution/_gangs.py
@@ -146,16 +146,21 @@
     reports: dict[WorkerId, worker_lib.WorkerReport],
 ) -> ActiveGang:
     """Returns the gang of a launch; workers without a report are a miss."""
-    gang = ActiveGang(
+    gang = make_unseen_gang(launch, now_s=now_s)
+    for worker in gang.members:
+        gang.observe(worker, reports.get(worker))
+    return gang
+
+
+def make_unseen_gang(launch: _launch.Launch, *, now_s: float) -> ActiveGang:
+    """Returns the gang of a launch before any report of its members."""
+    return ActiveGang(
         launch=launch,
         members={
             worker: Member(worker=worker, count=count, last_sent_s=now_s)
             for worker, count in launch.counts.items()
         },
     )
-    for worker in gang.members:
-        gang.observe(worker, reports.get(worker))
-    return gang
 
 
 def jobs_by_worker(
--- a/magnoliaglade/execution/_hooks.py
+++ b/magnoliaglade/execution/_hooks.py
@@ -5,7 +5,7 @@
 
 from magnoliaglade import configuration, scheduling
 from magnoliaglade.execution import (
-    _attempts,
+    _attempt_hooks,
     _calls,
     _errors,
     _gangs,
@@ -60,7 +60,7 @@
     refine: Callable[
         [scheduling.ClusterSnapshot], scheduling.ClusterSnapshot
     ] = lambda snapshot: snapshot
-    on_outcome: _attempts.Outcome = _ignore
+    on_outcome: _attempt_hooks.Outcome = _ignore
     zone_policy: Callable[[], configuration.ZonePolicy | None] = lambda: None
     choose_domain: _moves.ChooseDomain = lambda _: None
     forward: _moves.Forward = _cannot_forward
--- a/magnoliaglade/execution/_launch.py
+++ b/magnoliaglade/execution/_launch.py
@@ -110,6 +110,8 @@
 
     Attributes:
         may_start: whether zone and owner permit starts now.
+        may_start_unrecorded: whether a restartable job may start although
+            the store does not take its record.
         is_wanted: whether the job still waits for this attempt; asked before
             every call, since a cancellation can arrive at any time.
         on_step: awaited before each step; for tests and counters.
@@ -123,6 +125,7 @@
         calls: _calls.WorkerCalls,
         journal: _journal.Journal,
         may_start: Callable[[], bool],
+        may_start_unrecorded: Callable[[], bool],
         is_wanted: Callable[[Launch, LaunchStep], bool],
         on_step: Callable[[LaunchStep, JobId], Awaitable[None]] | None = None,
     ) -> None:
@@ -131,6 +134,7 @@
         self.calls = calls
         self.journal = journal
         self.may_start = may_start
+        self.may_start_unrecorded = may_start_unrecorded
         self.is_wanted = is_wanted
         self.on_step = on_step
 
@@ -218,7 +222,7 @@
             raise
         except store_lib.StoreError:
             is_restartable = not launch.spec.gang.at_most_once
-            if not (is_restartable and self.calls.authority.is_permitted()):
+            if not (is_restartable and self.may_start_unrecorded()):
                 raise
             # Under grants the record follows when the store returns; until
             # then a successor learns of the gang from the workers' reports.
--- a/magnoliaglade/execution/_term.py
+++ b/magnoliaglade/execution/_term.py
@@ -7,6 +7,7 @@
 from magnoliaglade import scheduling
 from magnoliaglade import store as store_lib
 from magnoliaglade.execution import (
+    _attempt_hooks,
     _attempts,
     _calls,
     _hooks,
@@ -59,7 +60,7 @@
         self.calls = _calls.WorkerCalls(
             clock=clock,
             client=hooks.client,
-            authority=_calls.Authority(
+            authority=_calls.OwnerAuthority(
                 owned=owned, is_permitted=hooks.may_act_in_outage
             ),
         )
@@ -68,8 +69,9 @@
             clock=clock,
             calls=self.calls,
             journal=journal,
-            hooks=_attempts.AttemptHooks(
+            hooks=_attempt_hooks.AttemptHooks(
                 may_start=self._may_start_now,
+                may_start_unrecorded=hooks.may_act_in_outage,
                 on_outcome=hooks.on_outcome,
                 on_free=on_free,
                 on_lost=on_lost,
--- a/magnoliaglade/execution/tests/test_launch.py
+++ b/magnoliaglade/execution/tests/test_launch.py
@@ -38,12 +38,13 @@
             calls=_calls.WorkerCalls(
                 clock=self.cluster.clock,
                 client=self.node.links.__getitem__,
-                authority=_calls.Authority(
+                authority=_calls.OwnerAuthority(
                     owned=owned, is_permitted=lambda: self.is_permitted
                 ),
             ),
             journal=self.journal,
             may_start=lambda: bool(self.node.startable),
+            may_start_unrecorded=lambda: self.is_permitted,
             is_wanted=lambda *_: not self.is_cancelled,
             on_step=on_step,
         )
