Kill the owner at every effect of a hand-over

Cause: a planned stop can fail half way like any other step. Change: the kill test also covers submission followed by a graceful stop and asserts that commands return within 7 s of virtual time. Conclusion: the successor continues from any point of a hand-over.

--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -28,14 +28,19 @@
         if command == "submit":
             spec = harness.make_spec("j", tasks=4, at_most_once=at_most_once)
             call = node.owner.submit(spec)
-        else:
+        elif command == "cancel":
             call = node.owner.cancel(JobId("j"))
+        else:
+            call = node.owner.stop()
         task = asyncio.create_task(call)
-        await clock.advance(3)
+        # A hand-over waits up to 5 s for steps in flight.
+        await clock.advance(7 if command == "hand-over" else 3)
+        assert task.done()
         with contextlib.suppress(execution.ExecutionError):
             await task
             done.append(command)
-    await clock.advance(7)
+    if "hand-over" not in script:
+        await clock.advance(7)
     return done
 
 
@@ -83,7 +88,9 @@
 class TestKilledOwner:
     @pytest.mark.parametrize("at_most_once", [False, True])
     @pytest.mark.parametrize(
-        "script", [("submit",), ("submit", "cancel")], ids="-".join
+        "script",
+        [("submit",), ("submit", "cancel"), ("submit", "hand-over")],
+        ids="-".join,
     )
     async def test_kill_at_every_effect(self, script, at_most_once):
         """Guards every promise of an owner that fails at any point.
