--- a/magnoliaglade/execution/tests/test_owner.py
+++ b/magnoliaglade/execution/tests/test_owner.py
@@ -1,6 +1,7 @@
 """Tests of an owner with workers that fail, jobs that end and commands."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -28,9 +29,13 @@
     async def test_result_needs_every_member(self):
         """Guards against a result of part of a gang."""
         cluster, node = await make_owner()
-        await submit(node, "j", tasks=4, command=("sleep", "7"))
+        await submit(node, "j", tasks=4, command=("sleep", "7"), run_s=6)
         assert len(cluster.running("j")) == 4
-        await cluster.clock.advance(12)
+        node.links["w1"].is_cut = True
+        await cluster.clock.advance(6)
+        assert node.phase("j") is PHASE.ACTIVE
+        node.links["w1"].is_cut = False
+        await cluster.clock.advance(5)
         assert node.phase("j") is PHASE.FINISHED
         assert {ok for _, _, ok in node.outcomes} == {True}
         reports = [w._tasks for w in cluster.workers.values()]
@@ -40,8 +45,16 @@
     async def test_repeated_submission_is_one_job(self):
         """Guards against a second job after a lost acknowledgement."""
         cluster, node = await make_owner()
-        await submit(node, "j")
-        await submit(node, "j")
+        spec = harness.make_spec("j")
+        renamed = dataclasses.replace(
+            spec, gang=dataclasses.replace(spec.gang, job=JobId("k"))
+        )
+        found = await asyncio.gather(
+            *(node.owner.submit(s) for s in (spec, renamed, spec))
+        )
+        await cluster.clock.advance(3)
+        found.append(await node.owner.submit(renamed))
+        assert set(found) == {"j"}
         assert len(node.owner.jobs) == 1
         assert len(cluster.runs("j")) == 2
         await node.close()
@@ -79,7 +92,7 @@
         await cluster.clock.advance(60)
         assert node.phase("j") is PHASE.ACTIVE
         assert {r.attempt for r in cluster.running("j")} == {2}
-        assert not cluster.overlaps("j")
+        assert not cluster.overlaps("j", tasks=4)
         assert cluster.partial_s("j", tasks=4) <= 20.7
         await node.close()
 
--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from magnoliaglade import execution
+from magnoliaglade import execution, scheduling
 from magnoliaglade import store as store_lib
 from magnoliaglade.execution.tests import harness
-from magnoliaglade.types import JobId
+from magnoliaglade.types import JobId, WorkerId
 
 PHASE = execution.JobPhase
 # A takeover is complete 5 s after the owner failed, and the slowest start or
@@ -16,6 +16,10 @@
 SETTLE_S = 45.0
 
 
+async def _time_out(_):
+    raise store_lib.StoreUnknownError("no answer")
+
+
 async def run_script(node, script, *, at_most_once):
     """Runs commands as a caller does; returns the acknowledged ones."""
     done = []
@@ -24,14 +28,19 @@
         if command == "submit":
             spec = harness.make_spec("j", tasks=4, at_most_once=at_most_once)
             call = node.owner.submit(spec)
-        else:
+        elif command == "cancel":
             call = node.owner.cancel(JobId("j"))
+        else:
+            call = node.owner.stop()
         task = asyncio.create_task(call)
-        await clock.advance(3)
+        # A hand-over waits up to 5 s for steps in flight.
+        await clock.advance(7 if command == "hand-over" else 3)
+        assert task.done()
         with contextlib.suppress(execution.ExecutionError):
             await task
             done.append(command)
-    await clock.advance(7)
+    if "hand-over" not in script:
+        await clock.advance(7)
     return done
 
 
@@ -62,7 +71,7 @@
     # the successor fences them: 5 s of takeover and the 7 s of the script.
     assert cluster.partial_s("j", tasks=4) <= 3.0 + 7.0 + 5.0
     assert len(running) in (0, 4)
-    assert not cluster.overlaps("j")
+    assert not cluster.overlaps("j", tasks=4)
     assert "submit" not in done or entry is not None
     if "cancel" in done:
         assert entry.phase is PHASE.CANCELLED
@@ -79,7 +88,9 @@
 class TestKilledOwner:
     @pytest.mark.parametrize("at_most_once", [False, True])
     @pytest.mark.parametrize(
-        "script", [("submit",), ("submit", "cancel")], ids="-".join
+        "script",
+        [("submit",), ("submit", "cancel"), ("submit", "hand-over")],
+        ids="-".join,
     )
     async def test_kill_at_every_effect(self, script, at_most_once):
         """Guards every promise of an owner that fails at any point.
@@ -111,7 +122,7 @@
         await new.own()
         await cluster.clock.advance(SETTLE_S)
         assert cluster.partial_s("j", tasks=4) <= 3.0
-        assert not cluster.overlaps("j")
+        assert not cluster.overlaps("j", tasks=4)
         entry = new.owner.status("j")
         if at_most_once:
             assert len(cluster.attempts("j")) <= 1
@@ -135,7 +146,8 @@
         assert len(cluster.runs("j")) == 4
         await new.close()
 
-    async def test_result_outlives_the_owner(self):
+    @pytest.mark.parametrize("is_down", [False, True])
+    async def test_result_outlives_the_owner(self, is_down):
         """Guards against a finished job that runs again."""
         cluster = harness.Cluster()
         old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
@@ -143,6 +155,10 @@
         spec = harness.make_spec("j", tasks=4, command=("sleep", "3"))
         await old.owner.submit(spec)
         await cluster.clock.advance(1)
+        if is_down:
+            # The result is known to the owner, and not yet in the log.
+            old.store.is_down = old.has_grants = True
+            await cluster.clock.advance(18)
         await old.close()
         await cluster.clock.advance(10)
         await new.own()
@@ -151,6 +167,51 @@
         assert len(cluster.runs("j")) == 4
         await new.close()
 
+    async def test_held_at_most_once_gang_starts_later(self):
+        """Guards against a job given up that certainly has not run."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+
+        async def on_step(step, _):
+            if step is execution.LaunchStep.ACTIVATE:
+                await old.ownership.release(old.owner.owned)
+                await asyncio.Event().wait()
+
+        await old.own(on_step=on_step)
+        await old.owner.submit(harness.make_spec("j", at_most_once=True))
+        await cluster.clock.advance(0.1)
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(20)
+        assert set(cluster.attempts("j")) == {2}
+        assert len(cluster.running("j")) == 2
+        await new.close()
+
+    async def test_cancelled_tasks_on_a_late_worker_are_stopped(self):
+        """Guards against tasks of an ended job that hold a worker."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(harness.make_spec("j"))
+        await cluster.clock.advance(7)
+        old.links["w0"].is_cut = new.links["w0"].is_cut = True
+        await old.owner.cancel(JobId("j"))
+        await old.close()
+        await new.own()
+        await cluster.clock.advance(1)
+        assert len(cluster.running("j")) == 2
+        new.links["w0"].is_cut = False
+        await cluster.clock.advance(5)
+        assert cluster.running("j") == []
+        # The worker is fenced now, so starts need not wait for its leases.
+        await new.owner.submit(harness.make_spec("k"))
+        await cluster.clock.advance(3)
+        assert len(cluster.running("k")) == 2
+        await cluster.clock.advance(12)
+        reports = cluster.workers["w0"]._tasks.values()
+        assert {t.request.job for t in reports} <= {"k"}
+        await new.close()
+
     async def test_graceful_handover(self):
         """Guards against a planned stop that interrupts running tasks."""
         cluster = harness.Cluster()
@@ -159,7 +220,7 @@
         await old.owner.submit(harness.make_spec("j", tasks=4))
         await asyncio.sleep(0)
         await old.owner.stop()
-        with pytest.raises(execution.NotRunError):
+        with pytest.raises(execution.NotOwnerError):
             await old.owner.submit(harness.make_spec("k"))
         before_s = cluster.clock.now()
         await new.own()
@@ -179,6 +240,7 @@
         old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
         await old.own()
         await old.owner.submit(harness.make_spec("j"))
+        await old.owner.submit(harness.make_spec("p", tasks=4))
         await cluster.clock.advance(3)
         # The pause: no renewal of the lease, and none of the loops run.
         old.lease._task.cancel()
@@ -190,19 +252,26 @@
         old.lease._held = store_lib._lease._Held(
             lease=old.owner.owned.lease, valid_until_s=now_s + 100
         )
-        entry = old.owner.jobs.get(JobId("j"))
         term = old.owner._term
         gang = term.attempts.renewal.gangs[JobId("j")]
         term.attempts.end(gang, execution.FailureCause.EVICTED)
+        placement = scheduling.Placement(
+            job=JobId("p"), assignments=((WorkerId("w1"), 2),)
+        )
+        term.attempts.start(old.owner.jobs.get(JobId("p")), placement)
         await cluster.clock.advance(1)
         assert old.owner.is_lost
+        with pytest.raises(execution.NotOwnerError):
+            await old.owner.cancel(JobId("j"))
         old.owner._is_lost = False
-        with pytest.raises(execution.NotRunError):
+        with pytest.raises(execution.NotOwnerError):
             await old.owner.submit(harness.make_spec("k"))
-        with pytest.raises(execution.NotRunError):
-            await old.owner.cancel(entry.job)
+        old.owner._is_lost = False
+        with pytest.raises(execution.NotOwnerError):
+            await old.owner.cancel(JobId("j"))
         await cluster.clock.advance(10)
-        assert len(cluster.running("j")) == 2
+        assert len(cluster.running("j")) == len(cluster.runs("j")) == 2
+        assert cluster.runs("p") == []
         assert new.phase("j") is PHASE.ACTIVE
         assert new.owner.jobs.get(JobId("k")) is None
         await new.close()
@@ -225,7 +294,7 @@
         for name in ("w2", "w3"):
             new.links[name].is_cut = False
         await cluster.clock.advance(60)
-        assert not cluster.overlaps("j")
+        assert not cluster.overlaps("j", tasks=4)
         assert len(cluster.attempts("j")) == (1 if at_most_once else 2)
         assert new.phase("j") is (
             PHASE.FAILED if at_most_once else PHASE.ACTIVE
@@ -267,10 +336,43 @@
         assert len(cluster.runs("j")) == 2
         await successor.close()
 
-    async def test_successor_adopts_an_unrecorded_gang(self):
-        """Guards against a second start of a gang started under grants."""
+    @pytest.mark.parametrize("fault", ["outage", "takeover"])
+    async def test_refusal_of_a_job_in_doubt_is_not_a_not_run(self, fault):
+        """Guards against "not run" for a job that a successor runs."""
         cluster = harness.Cluster()
         old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        spec = harness.make_spec("j")
+        # The write takes effect, and neither answer nor read-back comes.
+        old.store.lost_answers = 10
+        with contextlib.suppress(execution.OutcomeUnknownError):
+            task = asyncio.create_task(old.owner.submit(spec))
+            get, old.store.get = old.store.get, _time_out
+            await cluster.clock.advance(0.01)
+            assert task.done()
+            await task
+        assert old.owner.jobs.get(JobId("j")) is None
+        old.store.is_down = True
+        if fault == "takeover":
+            await new.own()
+            old.store.is_down, old.store.get = False, get
+        task = asyncio.create_task(old.owner.submit(spec))
+        await cluster.clock.advance(1)
+        assert task.done()
+        with pytest.raises(execution.OutcomeUnknownError):
+            await task
+        await old.close()
+        if fault == "outage":
+            await new.own()
+        await cluster.clock.advance(5)
+        assert len(cluster.running("j")) == 2
+        await new.close()
+
+    @pytest.mark.parametrize("is_cut", [False, True])
+    async def test_successor_of_an_unrecorded_gang(self, is_cut):
+        """Guards against a second run of a gang started under grants."""
+        cluster = harness.Cluster(workers=4)
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
         old.startable = frozenset()
         await old.own()
         await old.owner.submit(harness.make_spec("j"))
@@ -279,12 +381,41 @@
         await cluster.clock.advance(8)
         assert len(cluster.running("j")) == 2
         await old.close()
+        new.links["w0"].is_cut = is_cut
         await new.own()
-        await cluster.clock.advance(30)
-        assert len(cluster.runs("j")) == 2
+        await cluster.clock.advance(45)
+        assert len(cluster.runs("j")) == (4 if is_cut else 2)
+        assert len(cluster.running("j")) == 2
+        assert not cluster.overlaps("j")
         assert new.phase("j") is PHASE.ACTIVE
         await new.close()
 
+    @pytest.mark.parametrize("is_killed", [False, True])
+    async def test_restart_during_the_outage_is_kept(self, is_killed):
+        """Guards against a restarted gang that is stopped or forgotten."""
+        cluster = harness.Cluster(workers=3)
+        node = harness.Node(cluster, "a")
+        await node.own()
+        await node.owner.submit(harness.make_spec("j"))
+        await cluster.clock.advance(3)
+        node.store.is_down = node.has_grants = True
+        await cluster.clock.advance(5)
+        cluster.workers["w0"].crash()
+        await cluster.clock.advance(40)
+        assert {r.attempt for r in cluster.running("j")} == {2}
+        if is_killed:
+            await node.close()
+            node = harness.Node(cluster, "b")
+            await node.own()
+        node.store.is_down = node.has_grants = False
+        await cluster.clock.advance(30)
+        assert set(cluster.attempts("j")) == {1, 2}
+        assert len(cluster.running("j")) == 2
+        assert node.owner.status("j").attempt == 2
+        # What only the owner knew of the outage is lost with it.
+        assert node.owner.status("j").failures == (0 if is_killed else 1)
+        await node.close()
+
     @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests"])
     @pytest.mark.parametrize("write", range(8))
     @pytest.mark.parametrize("count", [1, 4])
@@ -312,7 +443,7 @@
             await task
         await cluster.clock.advance(100)
         assert node.phase("j") is PHASE.FAILED
-        assert not cluster.overlaps("j")
+        assert not cluster.overlaps("j", tasks=1)
         assert node.owner.status("j").failures == 4
         successor = harness.Node(cluster, "b")
         await node.close()
