Keep a writer that was cut off from repeating a reversed zone command

The rule of the majority is a function of its own. Conclusion: a return that no configuration shows and that the cut-off writer cannot hear of is still undone by it; the operator then repeats the return.

--- a/magnoliaglade/configuration/_agent.py
+++ b/magnoliaglade/configuration/_agent.py
@@ -14,6 +14,7 @@
 from magnoliaglade.configuration import (
     _errors,
     _intents,
+    _majority,
     _messages,
     _reader,
     _schema,
@@ -175,6 +176,18 @@
         if not await self._read() and self._apply(stored):
             await self._announce()
 
+    async def collect(self) -> frozenset[InstanceId]:
+        """Takes over intents and newer revisions from all peers.
+
+        A new owner of a zone needs the answers of a majority of the view
+        before it starts anything: an intent that is in effect is held by a
+        majority, but not necessarily by every instance.
+
+        Returns:
+            The instances that answered, this one included.
+        """
+        return frozenset(await self._ask_all()) | {self.network.instance}
+
     async def refresh(self) -> None:
         """Confirms the revision in force, or learns of a newer one."""
         if not self.is_reader and await self._ask_reader():
@@ -276,11 +289,19 @@
     def _age_s(self) -> float:
         return self.confirmations.age_s(SUBJECT, self.revision)
 
-    async def _ask_all(self) -> None:
+    async def _ask_all(self) -> dict[InstanceId, _messages.ConfigUpdate]:
         started_s = self.clock.now()
-        live = sorted(self.network.live_peers)
-        replies = await self._ask(live)
-        self._confirm_by_majority(replies, started_s)
+        replies = await self._ask(sorted(self.network.live_peers))
+        if _majority.confirms(
+            own=self.network.instance,
+            own_state=self.store_state,
+            stored=self._stored,
+            replies=replies,
+            view=self.view(),
+        ):
+            age_s = self.clock.now() - started_s
+            self._confirm(self.revision, age_s, membership.Source.MAJORITY)
+        return replies
 
     async def _ask(
         self, instances: Iterable[InstanceId]
@@ -326,46 +347,12 @@
                 message_type="configuration:invalid-update", fault=str(error)
             )
             return None
-        if self._matches(reply) and reply.age_s >= 0:
+        if _majority.matches(self._stored, reply) and reply.age_s >= 0:
             # Counted from before the request, so transit time is included.
             age_s = self.clock.now() - started_s + reply.age_s
             self._confirm(reply.revision, age_s, membership.Source.PEER)
         return reply
 
-    def _matches(self, reply: _messages.ConfigUpdate) -> bool:
-        if self._stored is None or reply.revision != self.revision:
-            return False
-        stamp = self._stored.stamp
-        return (reply.writer, reply.sequence) == (stamp.writer, stamp.sequence)
-
-    def _confirm_by_majority(
-        self,
-        replies: dict[InstanceId, _messages.ConfigUpdate],
-        started_s: float,
-    ) -> None:
-        """Confirms the revision when nobody reached reaches the store.
-
-        The replies' intents have been taken over, so a zone on which a member
-        of the majority holds an intent is not started in.
-        """
-        members = set(self.view().instances)
-        states = {r.store_state for r in replies.values()}
-        states.add(self.store_state.value)
-        if _StoreState.REACHED.value in states or self._stored is None:
-            return
-        votes = {
-            peer
-            for peer, reply in replies.items()
-            if reply.store_state == _StoreState.UNREACHABLE.value
-            and self._matches(reply)
-        }
-        if self.store_state is _StoreState.UNREACHABLE:
-            votes.add(self.network.instance)
-        is_voter = self.network.instance in votes & members
-        if is_voter and len(votes & members) >= self.view().majority:
-            age_s = self.clock.now() - started_s
-            self._confirm(self.revision, age_s, membership.Source.MAJORITY)
-
     def _update(self, *, document: bytes = b"") -> _messages.ConfigUpdate:
         stamp = self._stored.stamp if self._stored else None
         age_s = self._age_s()
--- a/magnoliaglade/configuration/_zones.py
+++ b/magnoliaglade/configuration/_zones.py
@@ -148,6 +148,7 @@
 
         Raises:
             InvalidConfigurationError: the zone is unknown here.
+            ConfigurationUnavailableError: no configuration is in force here.
         """
         return await self._command(zone, removed=True)
 
@@ -156,6 +157,7 @@
 
         Raises:
             InvalidConfigurationError: the zone is unknown here.
+            ConfigurationUnavailableError: no configuration is in force here.
         """
         return await self._command(zone, removed=False)
 
@@ -169,7 +171,9 @@
     async def _command(self, zone: ZoneId, *, removed: bool) -> ZoneReport:
         configuration = self.agent.configuration
         if configuration is None:
-            raise _store.no_configuration()
+            raise _errors.ConfigurationUnavailableError(
+                f"{self.network.instance} has no configuration in force yet"
+            )
         _store.with_zone_state(configuration, zone, _state(removed))
         intent = self._new_intent(zone, removed, configuration.revision)
         self.intents.merge(intent)
@@ -216,7 +220,8 @@
             )
         except peers.PeerError:
             return False
-        return isinstance(ack, _messages.ZoneIntentAck) and ack.applied
+        self.intents.merge_plain(ack.intents)
+        return bool(ack.applied)
 
     def _report(
         self, intent: _messages.ZoneIntent, confirmed: frozenset[InstanceId]
@@ -245,6 +250,7 @@
         return _messages.ZoneIntentAck(
             holder=self.network.instance,
             applied=self.intents.is_latest(intent),
+            intents=self.intents.to_plain(),
         )
 
     async def _store_loop(self) -> None:
@@ -300,6 +306,10 @@
             with contextlib.suppress(_errors.ConflictingChangeError):
                 return await self.configurations.resolve(pending.write)
 
+        included = await self._included_since(intent)
+        if included is not None:
+            return included
+
         def edit(
             configuration: _schema.Configuration,
         ) -> _schema.Configuration:
@@ -313,6 +323,25 @@
         force = pending is not None or not intent.removed
         return await self.configurations.change(edit, force=force)
 
+    async def _included_since(
+        self, intent: _messages.ZoneIntent
+    ) -> _stored.Stored | None:
+        """Returns a revision after the intent that includes it, or None.
+
+        A writer that was cut off must not repeat a command that was stored by
+        another holder and has been reversed since.
+        """
+        current = await self.configurations.current()
+        last = current.configuration.revision if current else 0
+        for revision in range(intent.base_revision + 1, last + 1):
+            stored = await self.configurations.show(revision)
+            if stored is None:
+                continue
+            in_service = stored.configuration.zones_in_service
+            if (intent.zone not in in_service) == intent.removed:
+                return stored
+        return None
+
 
 def _state(removed: bool) -> _schema.ZoneState:
     if removed:
--- a/magnoliaglade/configuration/tests/test_configuration.py
+++ b/magnoliaglade/configuration/tests/test_configuration.py
@@ -84,6 +84,7 @@
     @hypothesis.example(raw=b"\xc1", text="2000-99-99")
     @hypothesis.example(raw=b"\x91" * 3000, text="[" * 3000)
     @hypothesis.example(raw=b"\x81\x80\x01", text="9" * 5000)
+    @hypothesis.example(raw=b"\x93\x90\x80\xc0", text="1: 2")
     @hypothesis.example(raw=b"", text="? [a]\n: b")
     @hypothesis.example(raw=b"", text="!!timestamp x")
     @hypothesis.example(raw=b"", text="!!int ''")
@@ -93,6 +94,8 @@
         cls = configuration_lib.Configuration
         with pytest.raises(configuration_lib.InvalidConfigurationError):
             configuration_lib.from_bytes(cls, raw, source="k")
+        with pytest.raises(configuration_lib.InvalidConfigurationError):
+            configuration_lib.Stored.from_bytes(raw, source="k")
         with pytest.raises(configuration_lib.InvalidConfigurationError):
             configuration_lib.from_yaml(cls, text, source="k")
 
--- /dev/null
+++ b/magnoliaglade/membership/tests/test_confirmations.py
@@ -0,0 +1,35 @@
+"""Tests of the ages of confirmed versions."""
+
+import math
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import membership
+
+
+class TestConfirmations:
+    async def test_age_counts_from_the_newest_confirmation(self):
+        """Guards against a late, older confirmation renewing a version."""
+        clock = clock_lib.ManualClock()
+        confirmations = membership.Confirmations(clock=clock)
+        confirm, age_s = confirmations.confirm, confirmations.age_s
+        assert age_s("x", 1) == math.inf
+        confirm("x", 1, age_s=0.5, source=membership.Source.STORE)
+        confirm("x", 1, age_s=2.0, source=membership.Source.PEER)
+        await clock.advance(2)
+        assert age_s("x", 1) == 2.5
+        assert confirmations.is_fresh("x", 1, max_age_s=3)
+        confirm("x", 1, age_s=math.nan, source=membership.Source.PEER)
+        confirm("x", 1, age_s=-1.0, source=membership.Source.PEER)
+        assert confirmations.source("x") is membership.Source.STORE
+        await clock.advance(1)
+        assert not confirmations.is_fresh("x", 1, max_age_s=3)
+
+    async def test_higher_version_ends_the_lower_one(self):
+        """Guards against a replaced version that still counts as current."""
+        clock = clock_lib.ManualClock()
+        confirmations = membership.Confirmations(clock=clock)
+        confirm = confirmations.confirm
+        confirm("x", 2, age_s=1.0, source=membership.Source.PEER)
+        confirm("x", 1, age_s=0.0, source=membership.Source.STORE)
+        assert confirmations.age_s("x", 1) == math.inf
+        assert confirmations.age_s("x", 2) == 1.0
