Order zone commands of instances that do not hear each other in the store

Change: config/commands/<zone> holds the latest command; a writer reads the revision it changes, then records its command by compare-and-swap, and stops if a later one is recorded. A return always writes a revision, so a removal made from an earlier revision fails. Acknowledgements carry no intents any more; no test depended on them after this change. Conclusion: one read and one write more per zone command, and commands are ordered by their sequence wherever they were given.

--- a/magnoliaglade/configuration/_intents.py
+++ b/magnoliaglade/configuration/_intents.py
@@ -77,9 +77,15 @@
         """Returns all intents for a message."""
         return tuple(i.to_plain() for i in self._by_zone.values())
 
-    def merge_plain(self, plain: Iterable[Any]) -> None:
-        """Takes over the intents of a message."""
+    def merge_plain(
+        self, plain: Iterable[Any]
+    ) -> tuple[_messages.ZoneIntent, ...]:
+        """Takes over the intents of a message and returns them typed."""
         names = [f.name for f in dataclasses.fields(_messages.ZoneIntent)]
-        for values in plain:
-            fields = dict(zip(names, values, strict=False))
-            self.merge(_messages.ZoneIntent(**fields))
+        intents = tuple(
+            _messages.ZoneIntent(**dict(zip(names, values, strict=False)))
+            for values in plain
+        )
+        for intent in intents:
+            self.merge(intent)
+        return intents
--- a/magnoliaglade/configuration/_messages.py
+++ b/magnoliaglade/configuration/_messages.py
@@ -100,9 +100,7 @@
         holder: the replying instance.
         applied: whether it holds this intent, or a configuration that includes
             it is in force.
-        intents: plain intents of the holder, which may be later ones.
     """
 
     holder: str
     applied: bool
-    intents: tuple[Any, ...] = ()
--- a/magnoliaglade/configuration/_store.py
+++ b/magnoliaglade/configuration/_store.py
@@ -4,6 +4,8 @@
 every accepted one, each stamped with the writer and its sequence. A writer
 completes the history of the revision it replaces before it replaces it, so a
 write that was accepted and then superseded can always be found there.
+`config/commands/<zone>` holds the latest command on a zone, which orders the
+commands of instances that do not hear each other.
 """
 
 import contextlib
@@ -24,6 +26,7 @@
 
 CURRENT_KEY = "config/current"
 _HISTORY_PREFIX = "config/history/"
+_COMMAND_PREFIX = "config/commands/"
 
 # Each lost attempt means that another change was accepted. At 3,900 changes a
 # day, 50 changes within one call do not occur outside of a fault.
@@ -184,16 +187,37 @@
             )
         return bool(events)
 
-    async def change(
-        self, edit: Edit, *, force: bool = False
-    ) -> _stored.Stored:
+    async def command(self, zone: ZoneId) -> tuple[Any, int]:
+        """Returns the latest recorded command on a zone and its position."""
+        with _translated():
+            entry = await self.store.get(_COMMAND_PREFIX + zone)
+            if entry is None:
+                return None, 0
+            return store_lib.unpack_stamped(entry.value)[0], entry.revision
+
+    async def record_command(
+        self, zone: ZoneId, plain: Any, *, expected: int
+    ) -> bool:
+        """Records a command; False if another one was recorded first."""
+        with _translated():
+            try:
+                await self._stamps.put(
+                    _COMMAND_PREFIX + zone,
+                    plain,
+                    expected=expected,
+                    stamp=self._stamps.next_stamp(),
+                )
+            except store_lib.ConflictError:
+                return False
+        return True
+
+    async def change(self, edit: Edit) -> _stored.Stored:
         """Applies an edit to the current configuration.
 
         The edit is repeated on the changed configuration when another change
         is accepted first, so neither is lost. It gets and returns a
         configuration of the current revision; an edit that changes nothing
-        writes nothing unless `force` is set. A forced write makes delayed
-        writes fail that were made from the revision it replaces.
+        writes nothing.
 
         Raises:
             See `accept`.
@@ -203,7 +227,7 @@
             if current is None:
                 raise no_configuration()
             edited = edit(current.configuration)
-            if edited == current.configuration and not force:
+            if edited == current.configuration:
                 return current
             revision = Revision(current.configuration.revision + 1)
             try:
--- a/magnoliaglade/configuration/_zones.py
+++ b/magnoliaglade/configuration/_zones.py
@@ -19,10 +19,12 @@
     _store,
     _stored,
 )
-from magnoliaglade.types import InstanceId, ZoneId
+from magnoliaglade.types import InstanceId, Revision, ZoneId
 
 CONFIRMATION_MAX_AGE_S = 3.0
 _MS_PER_S = 1000
+# Each lost attempt means that another change was accepted meanwhile.
+_WRITE_ATTEMPTS = 20
 
 
 class ZoneGate:
@@ -220,7 +222,6 @@
             )
         except peers.PeerError:
             return False
-        self.intents.merge_plain(ack.intents)
         return bool(ack.applied)
 
     def _report(
@@ -250,7 +251,6 @@
         return _messages.ZoneIntentAck(
             holder=self.network.instance,
             applied=self.intents.is_latest(intent),
-            intents=self.intents.to_plain(),
         )
 
     async def _store_loop(self) -> None:
@@ -306,22 +306,59 @@
             with contextlib.suppress(_errors.ConflictingChangeError):
                 return await self.configurations.resolve(pending.write)
 
-        included = await self._included_since(intent)
-        if included is not None:
-            return included
-
-        def edit(
-            configuration: _schema.Configuration,
-        ) -> _schema.Configuration:
-            if not self.intents.is_latest(intent):
-                raise _WithdrawnError(intent.zone)
-            zone, state = ZoneId(intent.zone), _state(intent.removed)
-            return _store.with_zone_state(configuration, zone, state)
-
         # A withdrawal, and any change after an unresolved write, is always
         # written, so that a delayed write cannot be accepted afterwards.
         force = pending is not None or not intent.removed
-        return await self.configurations.change(edit, force=force)
+        for _ in range(_WRITE_ATTEMPTS):
+            # Read before the command is recorded: a withdrawal recorded later
+            # writes a revision after this one, and the write below fails.
+            current = await self.configurations.current()
+            if current is None:
+                raise _store.no_configuration()
+            await self._record(intent)
+            included = await self._included_since(intent)
+            if included is not None:
+                return included
+            with contextlib.suppress(_errors.ConflictingChangeError):
+                return await self._accept(current, intent, force=force)
+        raise _errors.ConfigurationUnavailableError("too many changes")
+
+    async def _accept(
+        self,
+        current: _stored.Stored,
+        intent: _messages.ZoneIntent,
+        *,
+        force: bool,
+    ) -> _stored.Stored:
+        zone, state = ZoneId(intent.zone), _state(intent.removed)
+        base = current.configuration
+        edited = _store.with_zone_state(base, zone, state)
+        if edited == base and not force:
+            return current
+        revision = Revision(base.revision + 1)
+        return await self.configurations.accept(
+            dataclasses.replace(edited, revision=revision)
+        )
+
+    async def _record(self, intent: _messages.ZoneIntent) -> None:
+        """Orders the commands on a zone, also of instances cut off.
+
+        Raises:
+            _WithdrawnError: a later command is known or recorded.
+        """
+        zone = ZoneId(intent.zone)
+        for _ in range(_WRITE_ATTEMPTS):
+            plain, position = await self.configurations.command(zone)
+            known = self.intents.merge_plain([plain] if plain else [])
+            if not self.intents.is_latest(intent):
+                raise _WithdrawnError(zone)
+            if any(k.order == intent.order for k in known):
+                return
+            if await self.configurations.record_command(
+                zone, intent.to_plain(), expected=position
+            ):
+                return
+        raise _errors.ConfigurationUnavailableError("too many commands")
 
     async def _included_since(
         self, intent: _messages.ZoneIntent
--- a/magnoliaglade/configuration/tests/test_distribution.py
+++ b/magnoliaglade/configuration/tests/test_distribution.py
@@ -348,7 +348,10 @@
         if is_stored_first:
             cluster.set_outage(False, others)
             await cluster.run(5)
-        await cluster[others[0]].control.return_zone("zone-a")
+            in_service = configuration_lib.ZoneState.IN_SERVICE
+            await cluster.operator.set_zone_state("zone-a", in_service)
+        else:
+            await cluster[others[0]].control.return_zone("zone-a")
         cluster.set_outage(False, others)
         await cluster.run(3)
         if not is_stored_first:
@@ -361,6 +364,22 @@
         current = (await cluster.operator.current()).configuration
         assert current.zones_in_service == ALL
 
+    async def test_return_that_the_writer_cannot_hear_of(self, cluster):
+        """Guards against a removal stored after a return in a partition."""
+        cluster.set_outage(True)
+        await cluster[OTHERS[0]].control.remove("zone-a")
+        cluster.separate([OTHERS[1]])
+        await cluster.restart(OTHERS[1])
+        cluster[OTHERS[1]].store.is_down = False
+        await cluster.run(2)
+        report = await cluster[OTHERS[1]].control.return_zone("zone-a")
+        assert report.is_stored and not report.is_in_effect
+        cluster.set_outage(False)
+        await cluster.run(4)
+        assert cluster.startable() == {ALL}
+        history = await cluster.operator.history()
+        assert all(s.configuration.zones_in_service == ALL for s in history)
+
     async def test_command_without_configuration(self, cluster):
         """Guards against a command that an empty instance drops silently."""
         cluster.separate([NAMES[0]])
