--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,3 +1,1 @@
 """Benchmarks; each module has `run(seed)` and prints one JSON object a line."""
-
-"""Benchmarks; each module has `run(seed)` and prints JSON when executed."""
