Test the whole path and separate processes under faults; report metrics

Cause: kills, freezes, signals and a store outage had only been tested on virtual time. Change: tests over real sockets for a store outage, an operator race, a leaving executor, a planned stop; tests with separate processes for SIGTERM, a second signal, SIGKILL during a run and SIGSTOP; counters and gauges by statsd; an HTTP request that cannot be encoded counts as not sent. Conclusion: a request in flight at SIGTERM is answered and the process exits with 0; a key whose instance was killed is unknown and not run again.

--- a/magnoliaglade/cli/_processes.py
+++ b/magnoliaglade/cli/_processes.py
@@ -31,7 +31,13 @@
     from magnoliaglade import daemon
 
     loaded = _load(file)
-    raise SystemExit(asyncio.run(daemon.run(loaded)))
+    try:
+        status = asyncio.run(daemon.run(loaded))
+    except daemon.DaemonError as error:
+        raise _errors.CommandError(
+            str(error), status=_errors.ExitStatus.USAGE
+        ) from error
+    raise SystemExit(status)
 
 
 @click.group("settings")
--- a/magnoliaglade/daemon/_entry.py
+++ b/magnoliaglade/daemon/_entry.py
@@ -173,9 +173,58 @@
                 "claims_client": self.claims_client,
                 "domains": self.campaign,
                 "gateway": self.gateway,
+                "metrics": self._make_reporter(),
             }
         )
 
+    def _make_reporter(self) -> observability.MetricsReporter:
+        options = self.settings
+        metrics: observability.Metrics = observability.InMemoryMetrics()
+        if options.statsd_host:
+            metrics = observability.StatsdMetrics(
+                host=options.statsd_host,
+                port=options.statsd_port,
+                prefix=f"{options.statsd_prefix}.{self.instance}",
+            )
+        return observability.MetricsReporter(
+            clock=self.clock,
+            metrics=metrics,
+            counters={
+                "requests": lambda: self.gateway.counters,
+                "peers": lambda: self._network.counts,
+                "store": lambda: {
+                    "calls": self.store.calls,
+                    "writes": self.store.writes,
+                    "failures": self.store.failures,
+                },
+            },
+            gauges={"instance": self._gauges, "jobs": self._job_gauges},
+        )
+
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "ready": self.is_ready,
+            "store_reachable": self.store.is_reachable,
+            "lease_held": self.lease.is_valid,
+            "members": len(self._view().members),
+            "live_peers": len(self._network.live_peers),
+            "revision": self.agent.revision,
+            "startable_zones": len(self.gate.startable_zones()),
+            "owned_domains": len(self.campaign.owned),
+            "open_intents": len(self.intents.open),
+        }
+
+    def _job_gauges(self) -> dict[str, float]:
+        return {
+            f"{execution.zone_of(domain)}.{name}": value
+            for domain, load in self._loads().items()
+            for name, value in (
+                ("used_accelerators", load.used),
+                ("queued_accelerators", load.queued),
+                ("tasks", load.tasks),
+            )
+        }
+
     def _build_membership(self) -> None:
         self.lease = store_lib.InstanceLease(store=self.store, clock=self.clock)
         self.ownership = store_lib.Ownership(
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -145,6 +145,8 @@
     connection: _connection.ClientConnection | None,
 ) -> BaseException:
     """Returns the layer's error; cancellation and bugs stay as they are."""
+    if isinstance(error, _connection.InvalidRequestError):
+        return NotSentError(f"{url}: {error}")
     if not isinstance(
         error, OSError | TimeoutError | _connection.ConnectionBrokenError
     ):
--- a/magnoliaglade/http/_connection.py
+++ b/magnoliaglade/http/_connection.py
@@ -17,6 +17,10 @@
     """The connection broke or the answer is malformed."""
 
 
+class InvalidRequestError(Exception):
+    """The request cannot be encoded; nothing was written."""
+
+
 class ClientConnection:
     """Sends a request and reads the whole answer."""
 
@@ -53,10 +57,15 @@
         """Returns status and body of the answer.
 
         Raises:
+            InvalidRequestError: the request cannot be encoded.
             ConnectionBrokenError: no whole answer came.
         """
         try:
-            self.writer.write(self._encode(method, target, headers, body))
+            data = self._encode(method, target, headers, body)
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise InvalidRequestError(repr(error)) from error
+        try:
+            self.writer.write(data)
             status, content = await self._read_answer()
             if h11.DONE is self._h11.our_state is self._h11.their_state:
                 self._h11.start_next_cycle()
--- a/magnoliaglade/observability/__init__.py
+++ b/magnoliaglade/observability/__init__.py
@@ -11,10 +11,12 @@
     Metrics,
     StatsdMetrics,
 )
+from magnoliaglade.observability._reporter import MetricsReporter
 
 __all__ = [
     "InMemoryMetrics",
     "Metrics",
+    "MetricsReporter",
     "StatsdMetrics",
     "log_state_change",
     "start_logging",
--- a/magnoliaglade/standins/store.py
+++ b/magnoliaglade/standins/store.py
@@ -57,6 +57,7 @@
 
     async def stop(self) -> None:
         """Stops serving; the entries are gone with the process."""
+        self.memory.close()
         await self._server.stop()
 
     def _application(self) -> blacksheep.Application:
--- a/magnoliaglade/store/_memory.py
+++ b/magnoliaglade/store/_memory.py
@@ -27,6 +27,7 @@
             maxlen=_HISTORY_LENGTH
         )
         self._changed = asyncio.Event()
+        self._is_closed = False
         self.call_counts: collections.Counter[str] = collections.Counter()
 
     @property
@@ -106,13 +107,18 @@
                 if e.revision > after and e.key.startswith(prefix)
             ]
             remaining = deadline - self.clock.now()
-            if events or remaining <= 0:
+            if events or remaining <= 0 or self._is_closed:
                 return events
             try:
                 await self.clock.wait_for(self._changed.wait(), remaining)
             except TimeoutError:
                 return []
 
+    def close(self) -> None:
+        """Ends all waiting watches; later ones do not wait."""
+        self._is_closed = True
+        self._changed.set()
+
     def expire_leases(self) -> None:
         """Ends every lease whose TTL has passed without renewal."""
         now = self.clock.now()
