--- a/magnoliaglade/execution/__init__.py
+++ b/magnoliaglade/execution/__init__.py
@@ -34,6 +34,7 @@
     domain_of,
     zone_of,
 )
+from magnoliaglade.execution._steps import JobStep
 from magnoliaglade.execution._table import JobTable
 
 __all__ = [
@@ -51,6 +52,7 @@
     "JobPhase",
     "JobRouter",
     "JobSpec",
+    "JobStep",
     "JobTable",
     "LaunchOutcome",
     "LaunchStep",
--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -47,6 +47,7 @@
     Unknown,
 )
 from magnoliaglade.requests._retries import RetryBudget, backoff_s
+from magnoliaglade.requests._steps import RequestStep
 from magnoliaglade.requests.base import (
     Admission,
     ConfigurationSource,
@@ -92,6 +93,7 @@
     "RefusedError",
     "ReplyState",
     "RequestError",
+    "RequestStep",
     "RetryBudget",
     "RetryPolicy",
     "ServiceTimeEstimator",
