Add configuration, zone and shutdown rows and tests of the checkers

Cause: three protocols of the design had no rows in the fault matrix, and a check that cannot fail proves nothing.

--- a/magnoliaglade/configuration/__init__.py
+++ b/magnoliaglade/configuration/__init__.py
@@ -60,6 +60,7 @@
     ZonePolicy,
     ZoneState,
 )
+from magnoliaglade.configuration._steps import ConfigurationStep, ZoneStep
 from magnoliaglade.configuration._store import (
     ConfigurationStore,
     with_zone_state,
@@ -86,6 +87,7 @@
     "Configuration",
     "ConfigurationAgent",
     "ConfigurationError",
+    "ConfigurationStep",
     "ConfigurationStore",
     "ConfigurationUnavailableError",
     "ConfigurationUnknownError",
@@ -113,6 +115,7 @@
     "ZonePolicy",
     "ZoneReport",
     "ZoneState",
+    "ZoneStep",
     "capacity_of",
     "check",
     "check_structure",
--- a/tests/matrix/test_steps.py
+++ b/tests/matrix/test_steps.py
@@ -2,11 +2,12 @@
 
 import inspect
 
-from magnoliaglade import peers, requests
+from magnoliaglade import configuration, daemon, peers, requests
+from magnoliaglade.configuration import _messages
 from magnoliaglade.execution import _records
 from magnoliaglade.platform import worker as worker_lib
 from magnoliaglade.requests import _claim_messages
-from tests.matrix import claims, jobs
+from tests.matrix import claims, jobs, settings, shutdown
 
 # Not called by the owner: see test_throttle_is_not_called.
 _UNUSED_CALLS = {"worker:throttle"}
@@ -61,3 +62,38 @@
         run = claims.Run([])
         await run.run()
         assert run.points == {s.value for s in requests.RequestStep}
+
+    async def test_each_call_of_a_change_is_a_row(self):
+        """Guards against a new call of a change without a row."""
+        run = settings.Run([])
+        await run.change()
+        assert run.points == {s.value for s in configuration.ConfigurationStep}
+
+    async def test_each_call_of_a_zone_command_is_a_row(self):
+        """Guards against a new call of a zone command without a row.
+
+        The history is a step of each change and has its row there.
+        """
+        run = settings.Run([])
+        await run.zone()
+        other = {s.value for s in configuration.ConfigurationStep}
+        history = {"remove:config/history", "return:config/history"}
+        rows = {s.value for s in configuration.ZoneStep}
+        assert run.points - other - history == rows
+
+    def test_each_configuration_message_is_a_row(self):
+        """Guards against a new message of configuration without a row."""
+        steps = (*configuration.ConfigurationStep, *configuration.ZoneStep)
+        rows = {f"peer:{s.value.split(':')[1]}" for s in steps}
+        assert messages_in(_messages) - {"peer:ZoneIntentAck"} <= rows
+
+    async def test_each_call_of_a_stop_is_a_row(self):
+        """Guards against a new call of a stop without a row.
+
+        The claim's outcome is written by its owner and has its row there.
+        """
+        run = shutdown.Run([])
+        await run.run()
+        rows = {s.value for s in daemon.ShutdownStep}
+        requests_too = {s.value for s in requests.RequestStep}
+        assert run.points - (requests_too - rows) == rows
