--- a/tests/matrix/table.py
+++ b/tests/matrix/table.py
@@ -31,6 +31,7 @@
 
     Attributes:
         not_applicable: reasons by fault, or by step and fault.
+        unchecked: promises that say nothing under a fault.
         run: brings each of the `(step, fault)` pairs about in one run.
     """
 
@@ -39,11 +40,15 @@
     promises: frozenset
     not_applicable: dict
     run: Callable[[list], Awaitable[Findings]]
+    unchecked: dict = dataclasses.field(default_factory=dict)
 
     def reason(self, step: enum.Enum, fault: Fault) -> str | None:
         by_step = self.not_applicable.get((step, fault))
         return by_step or self.not_applicable.get(fault)
 
+    def promises_under(self, fault: Fault) -> frozenset:
+        return self.promises - self.unchecked.get(fault, frozenset())
+
     def cells(self):
         return itertools.product(self.steps, Fault)
 
