Reduce the cost of evictions and of long queues

Cause: the search for victims copied the free resources of every worker of every group, put each victim back twice and built placements of groups that were not chosen; a queue computed the room of cells for gangs that did not need it, sorted all workers per account and layout, and passed over all workers for each single task.

Change: victims are tried on copies of the touched workers only, and only the chosen group is filled; room, borrowers by worker and racks are computed when they are first needed; single tasks take the most used worker from a heap; cells are taken from a heap instead of a sorted list. bench_decisions gets the cost against the number of queued gangs (1, 64, 512), with room and without.

--- a/benchmarks/bench_decisions.py
+++ b/benchmarks/bench_decisions.py
@@ -20,6 +20,8 @@
 _REPEATS = 9
 _GANG = 256
 _QUEUE = 64
+# Lengths for the cost against the number of queued gangs.
+QUEUES = (1, 64, 512)
 
 
 def make_workers(count: int) -> dict:
@@ -146,25 +148,29 @@
     return dataclasses.replace(snapshot, running=running)
 
 
-def make_cases(snapshot: scheduling.ClusterSnapshot, size: int) -> dict:
-    """Returns snapshots by case: start, wait and evict one gang; a queue."""
-    full = with_borrowers(snapshot)
-    urgent = scheduling.Priority.URGENT
-    queue = tuple(
+def make_queue(length: int) -> tuple[scheduling.Gang, ...]:
+    """Returns waiting gangs of 1 to 8 tasks of 64 accounts."""
+    return tuple(
         dataclasses.replace(
             make_gang(1 + n % 8),
             job=JobId(f"q{n}"),
             account=AccountId(f"a{n % 64}"),
             submitted_at_s=1e6 - n,
         )
-        for n in range(_QUEUE)
+        for n in range(length)
     )
+
+
+def make_cases(snapshot: scheduling.ClusterSnapshot, size: int) -> dict:
+    """Returns snapshots by case: start, wait and evict one gang; a queue."""
+    full = with_borrowers(snapshot)
+    urgent = scheduling.Priority.URGENT
     gang = make_gang(size)
     cases = {
         "start": (snapshot, (gang,)),
         "wait": (full, (gang,)),
         "evict": (full, (dataclasses.replace(gang, priority=urgent),)),
-        "queue": (snapshot, queue),
+        "queue": (snapshot, make_queue(_QUEUE)),
     }
     return {
         name: dataclasses.replace(s, pending=pending)
@@ -208,6 +214,34 @@
             ]
             name = f"{case}_slope_{small}_to_{large}"
             rows.append(figure(name, "exponent", *slopes, seed))
+    # `snapshot` is the one of the target size here.
+    return rows + queue_rows(snapshot, seed)
+
+
+def queue_rows(snapshot: scheduling.ClusterSnapshot, seed: int) -> list[dict]:
+    """Returns the cost by length of the queue, and its slopes.
+
+    Gangs that find room and, with all accelerators taken, gangs that wait.
+    """
+    rows = []
+    cases = {"queue": snapshot, "full_queue": with_borrowers(snapshot)}
+    for case, cluster in cases.items():
+        costs = []
+        for length in QUEUES:
+            prepared = dataclasses.replace(cluster, pending=make_queue(length))
+            costs.append(
+                [median_ms(prepared, p) for p in ("cells", "first-fit")]
+            )
+            name = f"{case}_of_{length}"
+            rows.append(figure(name, "ms", *costs[-1], seed))
+        steps = zip(QUEUES, QUEUES[1:], costs, costs[1:], strict=False)
+        for short, long, before, after in steps:
+            slopes = [
+                math.log(b / a) / math.log(long / short)
+                for a, b in zip(before, after, strict=True)
+            ]
+            name = f"{case}_slope_{short}_to_{long}"
+            rows.append(figure(name, "exponent", *slopes, seed))
     return rows
 
 
--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import heapq
 import math
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
@@ -16,6 +17,9 @@
 # Absorbs rounding in sums of fractional cores and memory.
 _EPSILON = 1e-6
 
+_AVAILABLE = _model.WorkerState.AVAILABLE
+_PROBATION = _model.WorkerState.PROBATION
+
 Assignments = tuple[tuple[WorkerId, int], ...]
 RackKey = tuple[ZoneId, RackId]
 
@@ -44,6 +48,9 @@
     workers: dict[WorkerId, int]
     racks: dict[RackKey, int]
     zones: dict[ZoneId, int]
+    # Workers by free accelerators and cores; entries of workers that have
+    # changed since stay until they come up.
+    heap: list[tuple[float, float, int, WorkerId]] | None = None
 
 
 class Capacity:
@@ -74,7 +81,7 @@
             for w, x in workers.items()
             if x.zone in zones and (any_state or is_startable(x))
         ]
-        self._usable_set = frozenset(self.usable)
+        self._position = {w: n for n, w in enumerate(self.usable)}
         self.by_rack: dict[RackKey, list[WorkerId]] = defaultdict(list)
         self.by_zone: dict[ZoneId, list[WorkerId]] = defaultdict(list)
         for w in self.usable:
@@ -95,9 +102,13 @@
         self._take(assignments, shape, -1)
         self._refresh(w for w, _ in assignments)
 
+    def slots_by_worker(self, shape: _model.Shape) -> Mapping[WorkerId, int]:
+        """Returns the slots on all usable workers; it changes with them."""
+        return self._table(shape).workers
+
     def slots(self, worker: WorkerId, shape: _model.Shape) -> int:
         """Returns how many tasks of `shape` the worker still holds."""
-        if worker not in self._usable_set:
+        if worker not in self._position:
             return 0
         return slots_in(*self.free[worker], shape)
 
@@ -139,17 +150,29 @@
         self, table: _SlotTable, withheld: Collection[WorkerId]
     ) -> Assignments | None:
         """Returns the most used worker that holds one task."""
-        best, best_key = None, (math.inf, math.inf)
-        for w, slots in table.workers.items():
-            if not slots or w in withheld:
-                continue
-            cores, _, accelerators = self.free[w]
-            if accelerators <= best_key[0] and (
-                (accelerators, cores) < best_key
-            ):
-                best, best_key = w, (accelerators, cores)
+        heap = table.heap
+        if heap is None:
+            heap = [self._entry(w) for w, n in table.workers.items() if n]
+            heapq.heapify(heap)
+            table.heap = heap
+        best, passed = None, []
+        while heap and best is None:
+            entry = heap[0]
+            w = entry[3]
+            if not table.workers[w] or entry != self._entry(w):
+                heapq.heappop(heap)
+            elif w in withheld:
+                passed.append(heapq.heappop(heap))
+            else:
+                best = w
+        for entry in passed:
+            heapq.heappush(heap, entry)
         return None if best is None else ((best, 1),)
 
+    def _entry(self, worker: WorkerId) -> tuple[float, float, int, WorkerId]:
+        cores, _, accelerators = self.free[worker]
+        return accelerators, cores, self._position[worker], worker
+
     def fits(self, gang: _model.Gang) -> bool:
         """Tells whether the whole gang fits, without placing it."""
         table = self._table(gang.shape)
@@ -231,7 +254,7 @@
 
     def _refresh(self, changed: Iterable[WorkerId]) -> None:
         for w in changed:
-            if w not in self._usable_set:
+            if w not in self._position:
                 continue
             x = self.workers[w]
             for shape, table in self._tables.items():
@@ -241,6 +264,8 @@
                     table.workers[w] = after
                     table.racks[x.zone, x.rack] += delta
                     table.zones[x.zone] += delta
+                if after and table.heap is not None:
+                    heapq.heappush(table.heap, self._entry(w))
 
     def _take(
         self, assignments: Assignments, shape: _model.Shape, sign: int
@@ -258,10 +283,8 @@
 
 def is_startable(worker: _model.Worker) -> bool:
     """Tells whether a worker's state allows new tasks."""
-    return worker.state in (
-        _model.WorkerState.AVAILABLE,
-        _model.WorkerState.PROBATION,
-    )
+    # Identity, because hashing and comparing members of an Enum is slow.
+    return worker.state is _AVAILABLE or worker.state is _PROBATION
 
 
 def jobs_by_worker(
--- a/magnoliaglade/scheduling/_cells.py
+++ b/magnoliaglade/scheduling/_cells.py
@@ -8,9 +8,11 @@
 """
 
 import dataclasses
+import functools
+import heapq
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from magnoliaglade import configuration as configuration_lib
 from magnoliaglade.scheduling import _capacity, _model
@@ -94,15 +96,14 @@
     worker without cores cannot use its accelerators.
     """
     total = worker.shape
-    shares = [shape.accelerators * count]
-    for used, whole in (
-        (shape.cores, total.cores),
-        (shape.memory_gb, total.memory_gb),
-    ):
-        if whole > 0:
-            share = total.accelerators * used * count / whole
-            shares.append(math.ceil(share - 1e-6))
-    return min(total.accelerators, max(shares))
+    whole, units = total.accelerators, shape.accelerators * count
+    if total.cores > 0:
+        share = whole * shape.cores * count / total.cores
+        units = max(units, math.ceil(share - 1e-6))
+    if total.memory_gb > 0:
+        share = whole * shape.memory_gb * count / total.memory_gb
+        units = max(units, math.ceil(share - 1e-6))
+    return min(whole, units)
 
 
 def is_evictable(running: _model.RunningGang) -> bool:
@@ -130,9 +131,6 @@
         for worker in workers.values():
             if worker.shape.accelerators and _capacity.is_startable(worker):
                 self._zone_workers[worker.zone].append(worker)
-        self._racks: dict[tuple, int] = Counter(
-            (w.zone, w.rack) for w in workers.values()
-        )
         self._fixed: dict[ZoneId, dict[AccountId, Counter]] = defaultdict(
             lambda: defaultdict(Counter)
         )
@@ -145,6 +143,10 @@
                 self._add(gang.gang, gang.placement.assignments)
         self._layouts: dict[ZoneId, Layout] = {}
 
+    @functools.cached_property
+    def _racks(self) -> dict[tuple, int]:
+        return Counter((w.zone, w.rack) for w in self.workers.values())
+
     def layout(self, zone: ZoneId) -> Layout:
         """Returns the zone's current layout."""
         if zone not in self._layouts:
@@ -205,8 +207,11 @@
         self, gang: _model.Gang, assignments: _capacity.Assignments
     ) -> None:
         size = gang.tasks * gang.shape.accelerators
+        if not size:
+            return
+        cost = self._cost
         for w, _ in assignments:
-            self._cost[w] += size
+            cost[w] = cost.get(w, 0) + size
 
     def _has_cells(self, account: AccountId, zones: set[ZoneId]) -> bool:
         return all(
@@ -225,12 +230,13 @@
             if worker is None or not _capacity.is_startable(worker):
                 continue
             units = task_units(gang.shape, count, worker)
-            self._fixed[worker.zone][gang.account][w] += sign * units
+            used = self._fixed[worker.zone][gang.account]
+            used[w] = used.get(w, 0) + sign * units
 
     def _arrange(self, zone: ZoneId) -> Layout:
         return _Arrangement(
             workers=self._zone_workers[zone],
-            racks=self._racks,
+            racks=lambda: self._racks,
             fixed=self._fixed[zone],
             cost=self._cost,
         ).run(self._guarantees[zone])
@@ -249,16 +255,14 @@
         self,
         *,
         workers: list[_model.Worker],
-        racks: Mapping[tuple, int],
+        racks: Callable[[], Mapping[tuple, int]],
         fixed: Mapping[AccountId, Counter],
         cost: Mapping[WorkerId, int],
     ) -> None:
+        self.workers = workers
         self.racks = racks
         self.cost = cost
         self._total = {w.worker: w.shape.accelerators for w in workers}
-        self._by_rack: dict[tuple, list[WorkerId]] = defaultdict(list)
-        for w in workers:
-            self._by_rack[w.zone, w.rack].append(w.worker)
         # Uncovered use that stays in place, by account and in sum.
         self._use = {
             a: Counter({w: n for w, n in use.items() if n > 0})
@@ -271,6 +275,13 @@
         self._cells: dict[AccountId, Units] = defaultdict(dict)
         self._missing: Counter = Counter()
 
+    @functools.cached_property
+    def _by_rack(self) -> dict[tuple, list[WorkerId]]:
+        by_rack: dict[tuple, list[WorkerId]] = defaultdict(list)
+        for w in self.workers:
+            by_rack[w.zone, w.rack].append(w.worker)
+        return by_rack
+
     def run(self, guarantees: Iterable[_model.GuaranteedCells]) -> Layout:
         largest = max(self._total.values(), default=0)
         for size, members in self._kinds(guarantees, largest):
@@ -324,8 +335,9 @@
     def _rack_options(self, account: AccountId, covering: bool) -> list:
         use = self._use.get(account, Counter())
         options, cost = [], self.cost.__getitem__
+        sizes = self.racks()
         for key, members in sorted(self._by_rack.items()):
-            whole = len(members) == self.racks[key] and all(
+            whole = len(members) == sizes[key] and all(
                 self._left[w] == self._total[w] and self._used[w] == use[w]
                 for w in members
             )
@@ -337,15 +349,21 @@
     def _worker_options(
         self, account: AccountId, size: int, covering: bool
     ) -> Iterable[list[WorkerId]]:
-        use = self._use.get(account, Counter())
+        use = self._use.get(account, {})
         pool = [w for w in use if w in self._left] if covering else self._left
+        # `get` because the lookup of a missing key in a Counter is slow.
+        used, cost = self._used.get, self.cost.get
         ranked = []
         for w in pool:
-            own = use[w]
-            room = self._left[w] - (self._used[w] - own)
+            own = use.get(w, 0)
+            room = self._left[w] - used(w, 0) + own
             if room >= size and (own > 0) == covering:
-                ranked.append((-own, self.cost[w], room, w, room // size))
-        for own, _, _, w, fits in sorted(ranked):
+                ranked.append((-own, cost(w, 0), room, w))
+        # A heap, because only the first few are taken as a rule.
+        heapq.heapify(ranked)
+        while ranked:
+            own, _, room, w = heapq.heappop(ranked)
+            fits = room // size
             needed = math.ceil(-own / size) if covering else fits
             for _ in range(min(fits, needed)):
                 yield [w]
--- a/magnoliaglade/scheduling/_cells_policy.py
+++ b/magnoliaglade/scheduling/_cells_policy.py
@@ -107,19 +107,18 @@
         )
 
     def _start(self, gang: _model.Gang) -> bool:
-        rooms = self._rooms(gang)
         # Small work goes where it leaves the most whole workers; only large
         # gangs look for the account's own cells first, as they lose the most
         # when they are evicted.
         if _order.is_large(gang):
-            for room in rooms:
+            for room in self._rooms(gang):
                 found = _reclaim.place_in_cells(self._capacity, gang, room)
                 if found and self._commit(gang, found):
                     return True
         found = self._find(gang)
         if found and self._commit(gang, found):
             return True
-        return self._start_by_eviction(gang, rooms)
+        return self._start_by_eviction(gang)
 
     def _rooms(self, gang: _model.Gang) -> list[_cells.Units]:
         zones = self._ledger.zones_of(gang.account)
@@ -141,14 +140,14 @@
             self._too_many[key] = gang.tasks
         return found
 
-    def _start_by_eviction(
-        self, gang: _model.Gang, rooms: list[_cells.Units]
-    ) -> bool:
+    def _start_by_eviction(self, gang: _model.Gang) -> bool:
+        if self._searches_left <= 0:
+            return False
         searches = []
         if self._may_reclaim(gang):
             searches = [
                 functools.partial(self._reclaimer.within_cells, gang, room)
-                for room in rooms
+                for room in self._rooms(gang)
             ]
         if gang.priority is _model.Priority.URGENT:
             searches.append(functools.partial(self._reclaimer.anywhere, gang))
@@ -156,7 +155,7 @@
             searches.append(
                 functools.partial(self._reclaimer.by_consolidation, gang)
             )
-        if not searches or self._searches_left <= 0:
+        if not searches:
             return False
         self._searches_left -= 1
         for search in searches:
--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -5,8 +5,9 @@
 """
 
 import dataclasses
+import functools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from magnoliaglade.scheduling import _capacity, _cells, _model
 from magnoliaglade.types import JobId, WorkerId
@@ -33,12 +34,19 @@
         running: Mapping[JobId, _model.RunningGang],
     ) -> None:
         self.capacity = capacity
-        self._borrowers = {
+        self.running = running
+
+    @functools.cached_property
+    def _borrowers(self) -> dict[JobId, _model.RunningGang]:
+        return {
             job: gang
-            for job, gang in running.items()
+            for job, gang in self.running.items()
             if _cells.is_evictable(gang)
         }
-        self._on_worker = _capacity.jobs_by_worker(self._borrowers.values())
+
+    @functools.cached_property
+    def _on_worker(self) -> dict[WorkerId, list[JobId]]:
+        return _capacity.jobs_by_worker(self._borrowers.values())
 
     def remove(self, job: JobId) -> _model.RunningGang:
         """Forgets an evicted borrower and returns it."""
@@ -105,31 +113,33 @@
         for members in _capacity.groups(
             self.capacity.workers, gang.adjacency, limits
         ):
-            found = self._in_group(gang, members, limits, may_evict)
-            if found is None:
+            trial = _Trial(
+                capacity=self.capacity,
+                members=members,
+                limits=limits,
+                shape=gang.shape,
+            )
+            victims = self._victims(gang, trial, may_evict)
+            if victims is None:
                 continue
-            key = self._cost(found)
+            key = _cost(victims)
             if best is None or key < best[0]:
-                best = (key, found)
-        return best[1] if best else None
-
-    def _cost(self, reclaim: Reclaim) -> tuple:
-        victims = [self._borrowers[v] for v in reclaim.victims]
-        return (
-            len(victims),
-            sum(map(accelerators, victims)),
-            -sum(v.started_at_s for v in victims),
-            reclaim.victims,
+                best = (key, victims, trial)
+        if best is None:
+            return None
+        _, victims, trial = best
+        slots = trial.slots
+        order = [w for w in trial.members if slots[w] > 0]
+        return Reclaim(
+            victims=tuple(sorted(v.gang.job for v in victims)),
+            assignments=self.capacity.fill(order, slots, gang),
         )
 
-    def _in_group(self, gang, members, limits, may_evict) -> Reclaim | None:
-        trial = _Trial(
-            capacity=self.capacity,
-            members=members,
-            limits=limits,
-            shape=gang.shape,
-        )
-        jobs = {j for w in members for j in self._on_worker.get(w, ())}
+    def _victims(
+        self, gang: _model.Gang, trial: "_Trial", may_evict
+    ) -> list[_model.RunningGang] | None:
+        """Chooses victims in the trial's group; they stay taken away."""
+        jobs = {j for w in trial.members for j in self._on_worker.get(w, ())}
         candidates = [
             self._borrowers[j]
             for j in jobs
@@ -138,16 +148,16 @@
         candidates.sort(
             key=lambda r: (accelerators(r), -r.started_at_s, r.gang.job)
         )
-        victims = _fewest(trial, candidates, gang.tasks)
-        if victims is None:
-            return None
-        trial.reset(victims)
-        slots = trial.slots
-        order = [w for w in members if slots[w] > 0]
-        return Reclaim(
-            victims=tuple(sorted(v.gang.job for v in victims)),
-            assignments=self.capacity.fill(order, slots, gang),
-        )
+        return _fewest(trial, candidates, gang.tasks)
+
+
+def _cost(victims: list[_model.RunningGang]) -> tuple:
+    return (
+        len(victims),
+        sum(map(accelerators, victims)),
+        -sum(v.started_at_s for v in victims),
+        sorted(v.gang.job for v in victims),
+    )
 
 
 def accelerators(running: _model.RunningGang) -> int:
@@ -163,25 +173,21 @@
         self.members = members
         self.limits = limits
         self.shape = shape
-        self._set = frozenset(members)
-        self.reset(())
-
-    def reset(self, victims: Iterable[_model.RunningGang]) -> int:
-        """Starts over with these victims; returns the total of slots."""
-        self._free = {w: list(self.capacity.free[w]) for w in self.members}
-        self.slots = {w: self._count(w) for w in self.members}
+        # Copied when first changed: victims lie on few of the workers.
+        self._free: dict[WorkerId, list[float]] = {}
+        slots = capacity.slots_by_worker(shape)
+        self.slots = {w: min(slots.get(w, 0), limits[w]) for w in members}
         self.total = sum(self.slots.values())
-        for victim in victims:
-            self.add(victim)
-        return self.total
 
     def add(self, victim: _model.RunningGang, sign: int = 1) -> int:
         """Takes a victim away, or puts it back; returns the total."""
         shape = victim.gang.shape
         for w, count in victim.placement.assignments:
-            if w not in self._set:
+            if w not in self.slots:
                 continue
-            free = self._free[w]
+            free = self._free.get(w)
+            if free is None:
+                free = self._free[w] = list(self.capacity.free[w])
             free[0] += sign * count * shape.cores
             free[1] += sign * count * shape.memory_gb
             free[2] += sign * count * shape.accelerators
@@ -190,6 +196,22 @@
             self.slots[w] = after
         return self.total
 
+    def loss(self, victim: _model.RunningGang) -> int:
+        """Returns how many slots putting a victim back would take."""
+        shape, lost = victim.gang.shape, 0
+        for w, count in victim.placement.assignments:
+            if w not in self.slots:
+                continue
+            free = self._free.get(w) or self.capacity.free[w]
+            after = _capacity.slots_in(
+                free[0] - count * shape.cores,
+                free[1] - count * shape.memory_gb,
+                free[2] - count * shape.accelerators,
+                self.shape,
+            )
+            lost += self.slots[w] - min(after, self.limits[w])
+        return lost
+
     def weight(self, victim: _model.RunningGang) -> float:
         """Returns how many workers' worth a victim holds in the group.
 
@@ -198,7 +220,7 @@
         """
         shape, total = victim.gang.shape, 0.0
         for w, count in victim.placement.assignments:
-            if w not in self._set:
+            if w not in self.slots:
                 continue
             whole = self.capacity.workers[w].shape
             total += count * max(
@@ -282,9 +304,10 @@
             break
     else:
         return None
+    kept = []
     for victim in sorted(chosen, key=lambda r: r.started_at_s):
-        if trial.add(victim, sign=-1) >= need:
-            chosen.remove(victim)
+        if trial.total - trial.loss(victim) >= need:
+            trial.add(victim, sign=-1)
         else:
-            trial.add(victim)
-    return chosen
+            kept.append(victim)
+    return kept
