Evict borrowers that were evicted before last

Change: among equal numbers of victims the ones with the fewest attempts go first, also before smaller ones.

--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -1,5 +1,7 @@
 """Choice of borrowers to evict for a gang: the fewest, then the youngest.
 
+Borrowers that have been evicted before go last, because every eviction adds a
+wait to a restart, and the same long jobs would be evicted again and again.
 Between equal numbers of victims those with fewer accelerators go first, so
 that a small job does not stop a large gang where a small borrower would do.
 """
@@ -146,7 +148,12 @@
             if j in self._borrowers and may_evict(self._borrowers[j])
         ]
         candidates.sort(
-            key=lambda r: (accelerators(r), -r.started_at_s, r.gang.job)
+            key=lambda r: (
+                r.gang.attempt,
+                accelerators(r),
+                -r.started_at_s,
+                r.gang.job,
+            )
         )
         return _fewest(trial, candidates, gang.tasks)
 
@@ -154,6 +161,7 @@
 def _cost(victims: list[_model.RunningGang]) -> tuple:
     return (
         len(victims),
+        sum(v.gang.attempt for v in victims),
         sum(map(accelerators, victims)),
         -sum(v.started_at_s for v in victims),
         sorted(v.gang.job for v in victims),
