Keep workers only for gangs that start soon

Cause: in the traces four workers were kept for a waiting large gang for most of the time, until ends that are only estimates; accelerators stood idle while small work waited, also during and after a zone outage.

Change: workers are reserved only if the gang can probably start within 120 s.

--- a/magnoliaglade/scheduling/_reserve.py
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -9,6 +9,11 @@
 # ends of running work are only estimates.
 RESERVATIONS_MAX = 1
 
+# Workers are kept only for a gang that can probably start within this time.
+# Kept earlier, they stood idle for longer than the estimates are worth, and
+# less work was done in a zone outage.
+RESERVATION_HORIZON_S = 120.0
+
 # Multiple of the expected run time that a backfilled gang must have until
 # the reservation is due. With a margin of 2 small work took slightly longer in
 # bench_jobs.
@@ -66,7 +71,8 @@
             found = self._earliest(gang, members, slots)
             if found and (best is None or found[0] < best[0]):
                 best = found
-        if best is None:
+        horizon_s = self.snapshot.now_s + RESERVATION_HORIZON_S
+        if best is None or best[0] > horizon_s:
             return
         self.reservations.append(
             _model.Reservation(
--- a/magnoliaglade/scheduling/tests/test_completion.py
+++ b/magnoliaglade/scheduling/tests/test_completion.py
@@ -1,5 +1,7 @@
 """Tests of rules that keep completion times short."""
 
+import dataclasses
+
 from magnoliaglade import configuration as configuration_lib
 from magnoliaglade import scheduling
 from magnoliaglade.types import AccountId, JobId, RackId, WorkerId, ZoneId
@@ -62,3 +64,28 @@
         snapshot = make_snapshot([make_gang("j")], running, guarantees=(cells,))
         plan = scheduling.decide(snapshot, seed=0)
         assert [e.job for e in plan.evictions] == ["old"]
+
+
+class TestReservations:
+    def test_workers_are_not_kept_for_a_distant_start(self):
+        """Guards against workers that stand idle for an hour."""
+        for run_s, starts in ((NOW_S + 3600, ["small"]), (NOW_S + 60, [])):
+            large = make_gang("large", tasks=8)
+            small = make_gang("small", declared_run_s=7200.0)
+            long = make_gang("r", "b", tasks=4, declared_run_s=run_s)
+            snapshot = make_snapshot(
+                [large, small], [(long, 0.0)], accelerators=8
+            )
+            snapshot = dataclasses.replace(
+                snapshot,
+                running={
+                    long.job: dataclasses.replace(
+                        snapshot.running[long.job],
+                        placement=scheduling.Placement(
+                            job=long.job, assignments=((WorkerId("w"), 4),)
+                        ),
+                    )
+                },
+            )
+            plan = scheduling.decide(snapshot, seed=0)
+            assert [p.job for p in plan.starts] == starts
