Keep the rank of gangs that have missed their deadline

Cause: a gang whose deadline could no longer be met fell from the class of deadlines to that of all other work, behind every gang that was still in time; the longest completion times of small work are of such gangs.

Change: a missed deadline stays in the class, by latest start.

--- a/magnoliaglade/scheduling/_order.py
+++ b/magnoliaglade/scheduling/_order.py
@@ -88,7 +88,7 @@
 
     Classes go by priority; large gangs that have waited too long count as
     normal at least. Within a class the order is: these, by submission;
-    deadlines that are about to be missed, by latest start; all others by
+    deadlines that are missed or about to be, by latest start; all others by
     (wait + run) / run, divided by how far the account is above its fair
     share. `usage` is read again before every step, so gangs started in
     between lower their account's rank.
@@ -139,7 +139,9 @@
         return (-priority, 0), gang.submitted_at_s, ratio
     if gang.deadline_s is not None:
         slack = gang.deadline_s - snapshot.now_s - run
-        if 0 <= slack < _SLACK_RUNS * run + _BASE_RUN_S:
+        # Missed deadlines stay in the class: work that is late already would
+        # otherwise wait behind all work that is not.
+        if slack < _SLACK_RUNS * run + _BASE_RUN_S:
             return (-priority, 1), gang.deadline_s - run, ratio
     return (-priority, 2), 0.0, ratio
 
--- a/magnoliaglade/scheduling/tests/test_completion.py
+++ b/magnoliaglade/scheduling/tests/test_completion.py
@@ -89,3 +89,13 @@
             )
             plan = scheduling.decide(snapshot, seed=0)
             assert [p.job for p in plan.starts] == starts
+
+
+class TestDeadlines:
+    def test_missed_deadline_does_not_lower_the_rank(self):
+        """Guards against late work that waits behind all other work."""
+        late = make_gang("late", declared_run_s=60, deadline_s=NOW_S - 10)
+        due = make_gang("due", declared_run_s=60, deadline_s=NOW_S + 100)
+        snapshot = make_snapshot([due, late], [], accelerators=1)
+        plan = scheduling.decide(snapshot, seed=0)
+        assert [p.job for p in plan.starts] == ["late"]
