Search a late reservation once per shape

Cause: since reservations have a horizon, every overdue large gang of a queue searched all workers for a reservation that was then dropped; bench_decisions shows it for a queue of 512 without room.

Change: a gang with at least as many tasks of the same shape and closeness as one that starts too late is not searched for again.

--- a/magnoliaglade/scheduling/_reserve.py
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -36,6 +36,9 @@
         self.snapshot = snapshot
         self.capacity = capacity
         self.reservations: list[_model.Reservation] = []
+        # Smallest number of tasks known to start beyond the horizon; without
+        # it each gang of a long queue would search all workers.
+        self._too_late: dict[tuple, int] = {}
         self._ends: dict[WorkerId, float] | None = None
 
     @property
@@ -54,6 +57,9 @@
 
     def reserve(self, gang: _model.Gang) -> None:
         """Keeps the workers on which the gang can start the earliest."""
+        key = (gang.shape, gang.adjacency)
+        if gang.tasks >= self._too_late.get(key, gang.tasks + 1):
+            return
         taken = frozenset().union(*(r.workers for r in self.reservations))
         slots = {}
         for w in self.capacity.usable:
@@ -73,6 +79,7 @@
                 best = found
         horizon_s = self.snapshot.now_s + RESERVATION_HORIZON_S
         if best is None or best[0] > horizon_s:
+            self._too_late[key] = gang.tasks
             return
         self.reservations.append(
             _model.Reservation(
