Bring quarantine and exhausted retries into decisions

Workers on probation offer slots only while no gang runs on any of them, to one gang per decision, and never to at-most-once gangs, which cannot be tried again. They hold no guaranteed cells, so gangs on them are borrowed.

Conclusion: a bad worker fails one gang at a time. The owner in execution does not call annotate yet.

--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -59,7 +59,9 @@
     Only workers that may get new tasks (available or on probation, in a
     startable zone) offer slots; `any_state` counts all workers, for the
     question whether a gang could ever run. Resources of running gangs are
-    tracked on all workers.
+    tracked on all workers. Workers on probation offer slots while no gang
+    runs on any of them, so that a bad worker fails one gang at a time, and
+    none to gangs that must not start twice.
     """
 
     def __init__(
@@ -81,6 +83,20 @@
             for w, x in workers.items()
             if x.zone in zones and (any_state or is_startable(x))
         ]
+        running = list(running)
+        self._probation = frozenset(
+            w
+            for w in self.usable
+            if workers[w].state is _PROBATION and not any_state
+        )
+        if self._probation and any(
+            workers[w].state is _PROBATION
+            for gang in running
+            for w, _ in gang.placement.assignments
+            if w in workers
+        ):
+            self.usable = [w for w in self.usable if w not in self._probation]
+            self._probation = frozenset()
         self._position = {w: n for n, w in enumerate(self.usable)}
         self.by_rack: dict[RackKey, list[WorkerId]] = defaultdict(list)
         self.by_zone: dict[ZoneId, list[WorkerId]] = defaultdict(list)
@@ -96,6 +112,18 @@
         """Takes the resources of a placed gang."""
         self._take(assignments, shape, 1)
         self._refresh(w for w, _ in assignments)
+        if any(w in self._probation for w, _ in assignments):
+            self._close_probation()
+
+    def usable_for(self, gang: _model.Gang) -> list[WorkerId]:
+        """Returns the workers that may get tasks of the gang."""
+        if not gang.at_most_once or not self._probation:
+            return self.usable
+        return [w for w in self.usable if w not in self._probation]
+
+    def is_limited(self, gang: _model.Gang) -> bool:
+        """Tells whether some usable workers are closed to the gang."""
+        return gang.at_most_once and bool(self._probation)
 
     def release(self, assignments: Assignments, shape: _model.Shape) -> None:
         """Gives the resources of a gang back."""
@@ -127,6 +155,8 @@
             best_fit: fill the smallest sufficient group and the most used
                 workers first; otherwise take workers in order of their id.
         """
+        if self.is_limited(gang):
+            withheld = self._probation.union(withheld)
         table = self._table(gang.shape)
         if gang.tasks == 1 and best_fit:
             return self._find_single(table, withheld)
@@ -159,7 +189,7 @@
         while heap and best is None:
             entry = heap[0]
             w = entry[3]
-            if not table.workers[w] or entry != self._entry(w):
+            if not table.workers[w] or entry[:2] != self._load(w):
                 heapq.heappop(heap)
             elif w in withheld:
                 passed.append(heapq.heappop(heap))
@@ -170,8 +200,11 @@
         return None if best is None else ((best, 1),)
 
     def _entry(self, worker: WorkerId) -> tuple[float, float, int, WorkerId]:
+        return *self._load(worker), self._position[worker], worker
+
+    def _load(self, worker: WorkerId) -> tuple[float, float]:
         cores, _, accelerators = self.free[worker]
-        return accelerators, cores, self._position[worker], worker
+        return accelerators, cores
 
     def fits(self, gang: _model.Gang) -> bool:
         """Tells whether the whole gang fits, without placing it."""
@@ -267,6 +300,19 @@
                 if after and table.heap is not None:
                     heapq.heappush(table.heap, self._entry(w))
 
+    def _close_probation(self) -> None:
+        closed, self._probation = self._probation, frozenset()
+        self.usable = [w for w in self.usable if w not in closed]
+        for w in closed:
+            x = self.workers[w]
+            del self._position[w]
+            self.by_rack[x.zone, x.rack].remove(w)
+            self.by_zone[x.zone].remove(w)
+            for table in self._tables.values():
+                slots, table.workers[w] = table.workers[w], 0
+                table.racks[x.zone, x.rack] -= slots
+                table.zones[x.zone] -= slots
+
     def _take(
         self, assignments: Assignments, shape: _model.Shape, sign: int
     ) -> None:
--- a/magnoliaglade/scheduling/_cells.py
+++ b/magnoliaglade/scheduling/_cells.py
@@ -129,7 +129,7 @@
             list
         )
         for worker in workers.values():
-            if worker.shape.accelerators and _capacity.is_startable(worker):
+            if worker.shape.accelerators and _holds_cells(worker):
                 self._zone_workers[worker.zone].append(worker)
         self._fixed: dict[ZoneId, dict[AccountId, Counter]] = defaultdict(
             lambda: defaultdict(Counter)
@@ -185,6 +185,12 @@
             borrowed; None if it must not start, because it could not be
             evicted and would take a guarantee's room.
         """
+        if not all(_holds_cells(self.workers[w]) for w, _ in assignments):
+            # The worker may hold cells again before the gang ends.
+            if gang.at_most_once:
+                return None
+            self._add_cost(gang, assignments)
+            return True
         zones = {self.workers[w].zone for w, _ in assignments}
         if not gang.at_most_once and not self._has_cells(gang.account, zones):
             self._add_cost(gang, assignments)
@@ -227,7 +233,7 @@
     ) -> None:
         for w, count in assignments:
             worker = self.workers.get(w)
-            if worker is None or not _capacity.is_startable(worker):
+            if worker is None or not _holds_cells(worker):
                 continue
             units = task_units(gang.shape, count, worker)
             used = self._fixed[worker.zone][gang.account]
@@ -380,6 +386,12 @@
         self._used[worker] -= covered
 
 
+def _holds_cells(worker: _model.Worker) -> bool:
+    # A worker on probation takes one gang among all, so no guarantee can
+    # rely on it.
+    return worker.state is _model.WorkerState.AVAILABLE
+
+
 def _nominal(guarantee: configuration_lib.Guarantee) -> int:
     units = _NOMINAL_UNITS.get(guarantee.level, guarantee.accelerators)
     return units * guarantee.count
--- a/magnoliaglade/scheduling/_cells_policy.py
+++ b/magnoliaglade/scheduling/_cells_policy.py
@@ -132,7 +132,8 @@
 
     def _find(self, gang: _model.Gang) -> _capacity.Assignments | None:
         withheld = self._reserver.withheld_from(gang)
-        key = (gang.shape, gang.adjacency, withheld)
+        limited = self._capacity.is_limited(gang)
+        key = (gang.shape, gang.adjacency, withheld, limited)
         if gang.tasks >= self._too_many.get(key, gang.tasks + 1):
             return None
         found = self._capacity.find(gang, withheld=withheld)
--- a/magnoliaglade/scheduling/_model.py
+++ b/magnoliaglade/scheduling/_model.py
@@ -201,6 +201,7 @@
         quotas: largest number of accelerators in use, by account.
         weights: fair-share weight by account; 1 if missing.
         expected_run_s: learned run time by job; the declared one if missing.
+        exhausted: jobs that have failed too often to be started again.
     """
 
     now_s: float
@@ -214,6 +215,7 @@
     expected_run_s: Mapping[JobId, float] = dataclasses.field(
         default_factory=dict
     )
+    exhausted: frozenset[JobId] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/scheduling/_quarantine.py
+++ b/magnoliaglade/scheduling/_quarantine.py
@@ -119,6 +119,28 @@
             return RetryVerdict.GIVE_UP
         return RetryVerdict.RETRY
 
+    def annotate(
+        self, snapshot: _model.ClusterSnapshot
+    ) -> _model.ClusterSnapshot:
+        """Returns the snapshot with worker states and exhausted jobs.
+
+        Workers that are leaving or lost keep their state.
+        """
+        workers = dict(snapshot.workers)
+        for worker in getattr(self, "workers_", ()):
+            known = workers.get(worker)
+            if known and known.state is _model.WorkerState.AVAILABLE:
+                state = self._state(worker, snapshot.now_s)
+                workers[worker] = dataclasses.replace(known, state=state)
+        exhausted = frozenset(
+            gang.job
+            for gang in snapshot.pending
+            if self.verdict(gang.job) is RetryVerdict.GIVE_UP
+        )
+        return dataclasses.replace(
+            snapshot, workers=workers, exhausted=exhausted
+        )
+
     def _add_failure(self, outcome: TaskOutcome) -> None:
         self.failures_[outcome.job] += 1
         self.failed_on_[outcome.job].add(outcome.worker)
--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -77,7 +77,7 @@
 
     def anywhere(self, gang: _model.Gang) -> Reclaim | None:
         """Makes room for urgent work among borrowers of lower priority."""
-        limits = dict.fromkeys(self.capacity.usable, gang.tasks)
+        limits = dict.fromkeys(self.capacity.usable_for(gang), gang.tasks)
 
         def may_evict(victim: _model.RunningGang) -> bool:
             return victim.gang.priority < gang.priority
@@ -97,7 +97,7 @@
         total = sum(free[w][2] for w in self.capacity.usable)
         if total < gang.tasks * gang.shape.accelerators:
             return None
-        limits = dict.fromkeys(self.capacity.usable, gang.tasks)
+        limits = dict.fromkeys(self.capacity.usable_for(gang), gang.tasks)
         size = gang.tasks * gang.shape.accelerators
 
         def may_evict(victim: _model.RunningGang) -> bool:
--- a/magnoliaglade/scheduling/_refusals.py
+++ b/magnoliaglade/scheduling/_refusals.py
@@ -24,6 +24,13 @@
 
     def before_placement(self, gang: _model.Gang) -> _model.Refusal | None:
         """Returns a refusal that needs no look at the workers, or None."""
+        if gang.job in self.snapshot.exhausted:
+            return _refuse(
+                gang,
+                _REASON.RETRIES_EXHAUSTED,
+                "the job has failed too often or on too many sound workers",
+                permanent=True,
+            )
         need = gang.tasks * gang.shape.accelerators
         quota = self.snapshot.quotas.get(gang.account)
         if quota is not None and need > quota:
