--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import heapq
 import math
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
@@ -16,6 +17,9 @@
 # Absorbs rounding in sums of fractional cores and memory.
 _EPSILON = 1e-6
 
+_AVAILABLE = _model.WorkerState.AVAILABLE
+_PROBATION = _model.WorkerState.PROBATION
+
 Assignments = tuple[tuple[WorkerId, int], ...]
 RackKey = tuple[ZoneId, RackId]
 
@@ -44,6 +48,9 @@
     workers: dict[WorkerId, int]
     racks: dict[RackKey, int]
     zones: dict[ZoneId, int]
+    # Workers by free accelerators and cores; entries of workers that have
+    # changed since stay until they come up.
+    heap: list[tuple[float, float, int, WorkerId]] | None = None
 
 
 class Capacity:
@@ -52,7 +59,9 @@
     Only workers that may get new tasks (available or on probation, in a
     startable zone) offer slots; `any_state` counts all workers, for the
     question whether a gang could ever run. Resources of running gangs are
-    tracked on all workers.
+    tracked on all workers. Workers on probation offer slots while no gang
+    runs on any of them, so that a bad worker fails one gang at a time, and
+    none to gangs that must not start twice.
     """
 
     def __init__(
@@ -74,7 +83,21 @@
             for w, x in workers.items()
             if x.zone in zones and (any_state or is_startable(x))
         ]
-        self._usable_set = frozenset(self.usable)
+        running = list(running)
+        self._probation = frozenset(
+            w
+            for w in self.usable
+            if workers[w].state is _PROBATION and not any_state
+        )
+        if self._probation and any(
+            workers[w].state is _PROBATION
+            for gang in running
+            for w, _ in gang.placement.assignments
+            if w in workers
+        ):
+            self.usable = [w for w in self.usable if w not in self._probation]
+            self._probation = frozenset()
+        self._position = {w: n for n, w in enumerate(self.usable)}
         self.by_rack: dict[RackKey, list[WorkerId]] = defaultdict(list)
         self.by_zone: dict[ZoneId, list[WorkerId]] = defaultdict(list)
         for w in self.usable:
@@ -89,15 +112,31 @@
         """Takes the resources of a placed gang."""
         self._take(assignments, shape, 1)
         self._refresh(w for w, _ in assignments)
+        if any(w in self._probation for w, _ in assignments):
+            self._close_probation()
+
+    def usable_for(self, gang: _model.Gang) -> list[WorkerId]:
+        """Returns the workers that may get tasks of the gang."""
+        if not gang.at_most_once or not self._probation:
+            return self.usable
+        return [w for w in self.usable if w not in self._probation]
+
+    def is_limited(self, gang: _model.Gang) -> bool:
+        """Tells whether some usable workers are closed to the gang."""
+        return gang.at_most_once and bool(self._probation)
 
     def release(self, assignments: Assignments, shape: _model.Shape) -> None:
         """Gives the resources of a gang back."""
         self._take(assignments, shape, -1)
         self._refresh(w for w, _ in assignments)
 
+    def slots_by_worker(self, shape: _model.Shape) -> Mapping[WorkerId, int]:
+        """Returns the slots on all usable workers; it changes with them."""
+        return self._table(shape).workers
+
     def slots(self, worker: WorkerId, shape: _model.Shape) -> int:
         """Returns how many tasks of `shape` the worker still holds."""
-        if worker not in self._usable_set:
+        if worker not in self._position:
             return 0
         return slots_in(*self.free[worker], shape)
 
@@ -116,6 +155,8 @@
             best_fit: fill the smallest sufficient group and the most used
                 workers first; otherwise take workers in order of their id.
         """
+        if self.is_limited(gang):
+            withheld = self._probation.union(withheld)
         table = self._table(gang.shape)
         if gang.tasks == 1 and best_fit:
             return self._find_single(table, withheld)
@@ -139,17 +180,32 @@
         self, table: _SlotTable, withheld: Collection[WorkerId]
     ) -> Assignments | None:
         """Returns the most used worker that holds one task."""
-        best, best_key = None, (math.inf, math.inf)
-        for w, slots in table.workers.items():
-            if not slots or w in withheld:
-                continue
-            cores, _, accelerators = self.free[w]
-            if accelerators <= best_key[0] and (
-                (accelerators, cores) < best_key
-            ):
-                best, best_key = w, (accelerators, cores)
+        heap = table.heap
+        if heap is None:
+            heap = [self._entry(w) for w, n in table.workers.items() if n]
+            heapq.heapify(heap)
+            table.heap = heap
+        best, passed = None, []
+        while heap and best is None:
+            entry = heap[0]
+            w = entry[3]
+            if not table.workers[w] or entry[:2] != self._load(w):
+                heapq.heappop(heap)
+            elif w in withheld:
+                passed.append(heapq.heappop(heap))
+            else:
+                best = w
+        for entry in passed:
+            heapq.heappush(heap, entry)
         return None if best is None else ((best, 1),)
 
+    def _entry(self, worker: WorkerId) -> tuple[float, float, int, WorkerId]:
+        return *self._load(worker), self._position[worker], worker
+
+    def _load(self, worker: WorkerId) -> tuple[float, float]:
+        cores, _, accelerators = self.free[worker]
+        return accelerators, cores
+
     def fits(self, gang: _model.Gang) -> bool:
         """Tells whether the whole gang fits, without placing it."""
         table = self._table(gang.shape)
@@ -231,7 +287,7 @@
 
     def _refresh(self, changed: Iterable[WorkerId]) -> None:
         for w in changed:
-            if w not in self._usable_set:
+            if w not in self._position:
                 continue
             x = self.workers[w]
             for shape, table in self._tables.items():
@@ -241,6 +297,21 @@
                     table.workers[w] = after
                     table.racks[x.zone, x.rack] += delta
                     table.zones[x.zone] += delta
+                if after and table.heap is not None:
+                    heapq.heappush(table.heap, self._entry(w))
+
+    def _close_probation(self) -> None:
+        closed, self._probation = self._probation, frozenset()
+        self.usable = [w for w in self.usable if w not in closed]
+        for w in closed:
+            x = self.workers[w]
+            del self._position[w]
+            self.by_rack[x.zone, x.rack].remove(w)
+            self.by_zone[x.zone].remove(w)
+            for table in self._tables.values():
+                slots, table.workers[w] = table.workers[w], 0
+                table.racks[x.zone, x.rack] -= slots
+                table.zones[x.zone] -= slots
 
     def _take(
         self, assignments: Assignments, shape: _model.Shape, sign: int
@@ -258,10 +329,8 @@
 
 def is_startable(worker: _model.Worker) -> bool:
     """Tells whether a worker's state allows new tasks."""
-    return worker.state in (
-        _model.WorkerState.AVAILABLE,
-        _model.WorkerState.PROBATION,
-    )
+    # Identity, because hashing and comparing members of an Enum is slow.
+    return worker.state is _AVAILABLE or worker.state is _PROBATION
 
 
 def jobs_by_worker(
--- a/magnoliaglade/scheduling/_model.py
+++ b/magnoliaglade/scheduling/_model.py
@@ -11,6 +11,10 @@
 from magnoliaglade.configuration import CellLevel
 from magnoliaglade.types import AccountId, JobId, RackId, WorkerId, ZoneId
 
+# Largest time between the decision to evict for urgent work and the stop of
+# the evicted gang; with it, urgent work starts within 3.2 s (design 1.4).
+URGENT_CHECKPOINT_S = 2.0
+
 
 class Adjacency(enum.Enum):
     """How close the tasks of a gang must be."""
@@ -197,6 +201,7 @@
         quotas: largest number of accelerators in use, by account.
         weights: fair-share weight by account; 1 if missing.
         expected_run_s: learned run time by job; the declared one if missing.
+        exhausted: jobs that have failed too often to be started again.
     """
 
     now_s: float
@@ -210,6 +215,7 @@
     expected_run_s: Mapping[JobId, float] = dataclasses.field(
         default_factory=dict
     )
+    exhausted: frozenset[JobId] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/scheduling/_reserve.py
+++ b/magnoliaglade/scheduling/_reserve.py
@@ -9,6 +9,11 @@
 # ends of running work are only estimates.
 RESERVATIONS_MAX = 1
 
+# Workers are kept only for a gang that can probably start within this time.
+# Kept earlier, they stood idle for longer than the estimates are worth, and
+# less work was done in a zone outage.
+RESERVATION_HORIZON_S = 120.0
+
 # Multiple of the expected run time that a backfilled gang must have until
 # the reservation is due. With a margin of 2 small work took slightly longer in
 # bench_jobs.
@@ -31,6 +36,9 @@
         self.snapshot = snapshot
         self.capacity = capacity
         self.reservations: list[_model.Reservation] = []
+        # Smallest number of tasks known to start beyond the horizon; without
+        # it each gang of a long queue would search all workers.
+        self._too_late: dict[tuple, int] = {}
         self._ends: dict[WorkerId, float] | None = None
 
     @property
@@ -49,6 +57,9 @@
 
     def reserve(self, gang: _model.Gang) -> None:
         """Keeps the workers on which the gang can start the earliest."""
+        key = (gang.shape, gang.adjacency)
+        if gang.tasks >= self._too_late.get(key, gang.tasks + 1):
+            return
         taken = frozenset().union(*(r.workers for r in self.reservations))
         slots = {}
         for w in self.capacity.usable:
@@ -66,7 +77,9 @@
             found = self._earliest(gang, members, slots)
             if found and (best is None or found[0] < best[0]):
                 best = found
-        if best is None:
+        horizon_s = self.snapshot.now_s + RESERVATION_HORIZON_S
+        if best is None or best[0] > horizon_s:
+            self._too_late[key] = gang.tasks
             return
         self.reservations.append(
             _model.Reservation(
