Refuse a submission as not run only when no domain can have accepted it

Cause: the router treated every undelivered message as "not run", so a repeated submission was refused as not run although an earlier attempt might have been accepted. NotOwnerError no longer says that a job was not accepted, but the router still told its callers so. Job ids were random, an acceptance in progress was invisible to the search, and a message of a former registrar could arrive after its successor's search.

Change: the replies carry the errors of _errors.py one to one. A repeated submission whose registrar is not reached is unknown; one that the search has not found in any domain is not run. The search carries the registrar's epoch, and owners refuse acceptances of lower epochs from then on. An owner without a valid lease, or with an acceptance in flight, does not answer "not found". A submission in doubt stays with its domain. The job id is derived from account and submission id. _router.py is split by subject: registrar, owner endpoint, choice of the domain, calls and replies.

With the epoch check removed, test_late_message_of_a_former_registrar fails.

Conclusion: a lost reply, a moved owner or a dead registrar leads to unknown, and the repeated submission finds the one job.

--- a/magnoliaglade/daemon/_job_request.py
+++ b/magnoliaglade/daemon/_job_request.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from magnoliaglade import base, configuration, execution, scheduling
-from magnoliaglade.types import AccountId, JobId, ZoneId
+from magnoliaglade.types import AccountId, ZoneId
 
 MAX_TASKS = 4096
 MAX_TEXT = 256
@@ -118,7 +118,7 @@
     if request.deadline_s is not None:
         deadline_s = now_s + request.deadline_s
     gang = scheduling.Gang(
-        job=JobId(uuid.uuid4().hex),
+        job=execution.make_job_id(account, submission),
         account=account,
         tasks=request.tasks,
         shape=scheduling.Shape(
--- a/magnoliaglade/execution/__init__.py
+++ b/magnoliaglade/execution/__init__.py
@@ -32,10 +32,11 @@
     JobSpec,
     decode_record,
     encode_record,
+    make_job_id,
 )
-from magnoliaglade.execution._router import (
+from magnoliaglade.execution._router import JobRouter
+from magnoliaglade.execution._routing_replies import (
     FoundJob,
-    JobRouter,
     domain_of,
     zone_of,
 )
@@ -72,6 +73,7 @@
     "decode_record",
     "domain_of",
     "encode_record",
+    "make_job_id",
     "measure_load",
     "zone_of",
 ]
--- a/magnoliaglade/execution/_journal.py
+++ b/magnoliaglade/execution/_journal.py
@@ -43,6 +43,11 @@
         key = _commitment(record)
         return any(_commitment(d) == key for d in self._deferred)
 
+    def may_hold(self, submission: str) -> bool:
+        """Tells whether the acceptance of a submission may be in the log."""
+        key = (_records.Accepted, submission)
+        return any(_commitment(d) == key for d in self._deferred)
+
     async def write(self, record: _records.Record) -> None:
         """Writes a commitment and applies it.
 
--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -207,6 +207,16 @@
         """
         return copy.copy(self._find(job))
 
+    def may_hold(self, submission: str) -> bool:
+        """Tells whether a submission that the table lacks may be accepted.
+
+        Its record may be in the log without an answer, or another owner may
+        have accepted it while this one does not hold a valid lease.
+        """
+        if not self.owned.is_valid:
+            return True
+        return self._require_term().journal.may_hold(submission)
+
     async def _commit(self, record: _records.Record) -> None:
         journal = self._require_term().journal
         is_in_doubt = journal.is_in_doubt(record)
--- a/magnoliaglade/execution/_records.py
+++ b/magnoliaglade/execution/_records.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import hashlib
 from collections.abc import Callable
 from typing import Any
 
@@ -15,7 +16,7 @@
 
 from magnoliaglade import scheduling
 from magnoliaglade.execution import _errors
-from magnoliaglade.types import JobId
+from magnoliaglade.types import AccountId, JobId
 
 
 class JobPhase(enum.Enum):
@@ -248,6 +249,15 @@
 _NAMES = {cls: name for name, cls in _KINDS.items()}
 
 
+def make_job_id(account: AccountId, submission: str) -> JobId:
+    """Returns the id of the job of an account's submission.
+
+    It is derived, so that a repeated submission cannot become another job.
+    """
+    data = msgpack.packb([account, submission])
+    return JobId(hashlib.blake2b(data, digest_size=16).hexdigest())
+
+
 def encode_record(record: Record) -> bytes:
     """Returns the record as it is kept in the log."""
     return msgpack.packb([_NAMES[type(record)], _encode(record)])
--- a/magnoliaglade/execution/_routing_messages.py
+++ b/magnoliaglade/execution/_routing_messages.py
@@ -45,20 +45,39 @@
 @peers.message
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class JobAccept(peers.Message):
-    """Asks the owner of a domain to accept a job into its log."""
+    """Asks the owner of a domain to accept a job into its log.
+
+    Attributes:
+        domain: the domain.
+        record: the encoded `Accepted` record.
+        registrar: registrar domain of a submission; "" for a moved job.
+        epoch: the registrar's epoch.
+    """
 
     domain: str
     record: bytes
+    registrar: str = ""
+    epoch: int = 0
 
 
 @peers.message
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class JobCommand(peers.Message):
-    """Asks the owner of a domain about a job or a submission."""
+    """Asks the owner of a domain about a job or a submission.
+
+    Attributes:
+        domain: the domain.
+        action: a `JobAction` value.
+        subject: id of the job or of the submission.
+        registrar: registrar domain that looks for a submission.
+        epoch: the registrar's epoch.
+    """
 
     domain: str
     action: str
     subject: str
+    registrar: str = ""
+    epoch: int = 0
 
 
 @peers.message
