Look at gangs early and around their expected end

Cause: the end of a gang was noticed only in renewal rounds every 5 s.

Change: a gang is also looked at 0.5, 1, 2 and 4 s after its start, and at its expected end and 0.5, 1, 2 and 4 s later. The looks of one period of 0.5 s share one call per worker. The owner asks the run time estimator for the expected run time and feeds finished runs that did not continue from a checkpoint to it.

--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -110,6 +110,8 @@
             startable_zones=self.startable_zones,
             may_act_in_outage=lambda: self.outage.may_act(domain),
             refine=lambda snapshot: self._refine(snapshot, domain),
+            expected_run_s=self._expected_run_s,
+            on_run_time=self._note_run_time,
             zone_policy=lambda: self._zone_policy(zone),
             choose_domain=lambda spec: self.router.choose_domain(
                 spec, exclude=domain
@@ -117,6 +119,18 @@
             forward=self.router.forward,
         )
 
+    def _expected_run_s(self, gang: scheduling.Gang) -> float:
+        return self._run_times.predict([gang])[0]
+
+    def _note_run_time(self, gang: scheduling.Gang, run_s: float) -> None:
+        seen = scheduling.Observation(
+            account=gang.account,
+            kind=gang.kind,
+            declared=gang.declared_run_s,
+            actual=run_s,
+        )
+        self._run_times.partial_fit([seen])
+
     def _zone_policy(self, zone: ZoneId) -> configuration.ZonePolicy | None:
         current = self.configured()
         if current is None or zone not in self.removed_zones():
--- a/magnoliaglade/execution/_attempts.py
+++ b/magnoliaglade/execution/_attempts.py
@@ -15,6 +15,7 @@
     _gangs,
     _journal,
     _launch,
+    _lookout,
     _records,
     _renewal,
     _stopping,
@@ -64,6 +65,7 @@
             on_finding=self.handle_finding,
             on_orphan=self._clear_orphan,
         )
+        self.lookout = _lookout.Lookout(clock=clock, renewal=self.renewal)
         self._launcher = _launch.Launcher(
             domain=domain,
             clock=clock,
@@ -177,7 +179,7 @@
                 )
             )
         for gang in plan.adopted + plan.unrecorded:
-            self.renewal.add(gang)
+            self._renew(gang)
         for gang, finding in plan.ended:
             self.handle_finding(gang, finding)
         for ending in plan.endings:
@@ -232,11 +234,24 @@
             cause = _records.FailureCause.START_FAILED
             self.end(gang, cause, str(result.error))
         elif self._is_wanted(launch, _launch.LaunchStep.CONFIRM):
-            self.renewal.add(gang)
+            self._renew(gang)
         else:
             self.end(gang, None)
 
+    def _renew(self, gang: _gangs.ActiveGang) -> None:
+        self.renewal.add(gang)
+        expected_s = self.hooks.expected_run_s(gang.launch.spec.gang)
+        self.lookout.add(
+            gang, expected_s=expected_s, elapsed_s=self._elapsed_s(gang)
+        )
+
+    def _elapsed_s(self, gang: _gangs.ActiveGang) -> float:
+        return self.journal.table.elapsed_s(gang.job, self.clock.time())
+
     async def _finish(self, gang: _gangs.ActiveGang, detail: str) -> None:
+        if not gang.launch.checkpoint:
+            run_s = self._elapsed_s(gang)
+            self.hooks.on_run_time(gang.launch.spec.gang, run_s)
         is_written = await self.journal.write_eventually(
             _records.Finished(
                 job=gang.job,
--- a/magnoliaglade/execution/_hooks.py
+++ b/magnoliaglade/execution/_hooks.py
@@ -42,6 +42,10 @@
             the store is down.
         refine: adds guarantees, quotas, weights and estimates to a snapshot.
         on_outcome: told worker, job and success of each task; quarantine.
+        expected_run_s: expected run time of a gang in seconds; it is looked
+            at around its expected end.
+        on_run_time: told gang and run time in seconds of each finished gang
+            that did not continue from a checkpoint; for the estimators.
         zone_policy: what happens to running tasks of the removed zone; None
             while it is in service.
         choose_domain: domain that a job moves to.
@@ -61,6 +65,8 @@
         [scheduling.ClusterSnapshot], scheduling.ClusterSnapshot
     ] = lambda snapshot: snapshot
     on_outcome: _attempt_hooks.Outcome = _ignore
+    expected_run_s: _attempt_hooks.ExpectedRun = _attempt_hooks.declared_run_s
+    on_run_time: _attempt_hooks.RunTime = _ignore
     zone_policy: Callable[[], configuration.ZonePolicy | None] = lambda: None
     choose_domain: _moves.ChooseDomain = lambda _: None
     forward: _moves.Forward = _cannot_forward
--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -13,6 +13,7 @@
     _errors,
     _hooks,
     _journal,
+    _lookout,
     _records,
     _renewal,
     _table,
@@ -101,6 +102,7 @@
         self._loops = [
             asyncio.create_task(self._run(self._decide_once, self._wait)),
             asyncio.create_task(self._run(self._renew_once, self._pause)),
+            asyncio.create_task(self._run(self._look_once, self._pause_look)),
         ]
 
     async def stop(self) -> None:
@@ -302,6 +304,12 @@
     async def _pause(self) -> None:
         await self.clock.sleep(_renewal.TASK_RENEW_S)
 
+    async def _pause_look(self) -> None:
+        await self.clock.sleep(_lookout.LOOK_PERIOD_S)
+
+    async def _look_once(self) -> None:
+        await self._require_term().look()
+
     async def _decide_once(self) -> None:
         self._wake.clear()
         await self._reacquire()
--- a/magnoliaglade/execution/_renewal.py
+++ b/magnoliaglade/execution/_renewal.py
@@ -103,15 +103,26 @@
 
     async def poll(self, gang: _gangs.ActiveGang) -> None:
         """Renews one gang between rounds; a missing answer is no miss."""
+        await self._poll((gang,))
+
+    async def look(self, gangs: Iterable[_gangs.ActiveGang]) -> None:
+        """Renews gangs between rounds and acts on what has ended."""
+        await self._poll(gangs)
+        self._judge()
+
+    async def _poll(self, gangs: Iterable[_gangs.ActiveGang]) -> None:
+        polled = _gangs.jobs_by_worker(gangs)
 
         def send(worker: WorkerId) -> _calls.Send:
             return lambda client, epoch: client.renew(
-                self._request(worker, epoch, (gang,))
+                self._request(worker, epoch, polled[worker])
             )
 
-        results = await self.calls.call_all(gang.members, send)
+        results = await self.calls.call_all(sorted(polled), send)
         for worker, result in results.items():
-            if isinstance(result, worker_lib.WorkerReport):
+            if not isinstance(result, worker_lib.WorkerReport):
+                continue
+            for gang in polled[worker]:
                 gang.observe(worker, result)
 
     def _request(
--- a/magnoliaglade/execution/_table.py
+++ b/magnoliaglade/execution/_table.py
@@ -38,6 +38,11 @@
         job = self._submissions.get(submission)
         return None if job is None else self._jobs.get(job)
 
+    def elapsed_s(self, job: JobId, now_s: float) -> float:
+        """Returns the time since a job's attempt was decided; 0 if unknown."""
+        entry = self._jobs.get(job)
+        return 0.0 if entry is None else max(0.0, now_s - entry.started_at_s)
+
     def in_phase(
         self, phase: _records.JobPhase
     ) -> Collection[_records.JobEntry]:
--- a/magnoliaglade/execution/_term.py
+++ b/magnoliaglade/execution/_term.py
@@ -73,6 +73,8 @@
                 may_start=self._may_start_now,
                 may_start_unrecorded=hooks.may_act_in_outage,
                 on_outcome=hooks.on_outcome,
+                expected_run_s=hooks.expected_run_s,
+                on_run_time=hooks.on_run_time,
                 on_free=on_free,
                 on_lost=on_lost,
                 on_step=hooks.on_step,
@@ -137,6 +139,10 @@
         await self.attempts.renewal.round()
         self._unfenced &= self.attempts.renewal.unreached
 
+    async def look(self) -> None:
+        """Looks at gangs that may have ended since the last renewal."""
+        await self.attempts.lookout.look()
+
     async def decide(self) -> None:
         """Moves, evicts, refuses and starts jobs, in this order."""
         self.moves.step()
--- a/magnoliaglade/execution/tests/test_owner.py
+++ b/magnoliaglade/execution/tests/test_owner.py
@@ -221,3 +221,47 @@
             assert other["running"][-1].checkpoint == "running/1/1"
             assert other["running"][-1].attempt == 1
         await node.close()
+
+
+class TestEarlyLooks:
+    @pytest.mark.parametrize(
+        ("declared_s", "run_s"), [(3600.0, 1.2), (21.2, 21.2)]
+    )
+    async def test_end_is_noticed_between_renewals(self, declared_s, run_s):
+        """Guards against a finish that waits for the next renewal round."""
+        learned = []
+        cluster, node = await make_owner(
+            on_run_time=lambda gang, s: learned.append((gang.job, s))
+        )
+        options = {
+            "declared_run_s": declared_s,
+            "command": ("sleep", str(run_s)),
+        }
+        await submit(node, "j", run_s=40, **options)
+        entry = node.owner.status(JobId("j"))
+        ended_s = max(r.ended_s for r in cluster.runs("j"))
+        assert entry.ended_at_s - ended_s <= 1.5
+        assert [j for j, _ in learned] == ["j"]
+        assert learned[0][1] == pytest.approx(run_s, abs=2)
+        await node.close()
+
+    async def test_steady_gangs_are_only_renewed(self):
+        """Guards against looks at gangs that run for hours."""
+        cluster, node = await make_owner(workers=1)
+        for n in range(2):
+            await node.owner.submit(harness.make_spec(f"j{n}", tasks=1))
+        await cluster.clock.advance(20)
+        node.links["w0"].worker = calls = CountingWorker(cluster.workers["w0"])
+        await cluster.clock.advance(50)
+        assert calls.renewals == 10
+        await node.close()
+
+
+class CountingWorker:
+    def __init__(self, target):
+        self.target = target
+        self.renewals = 0
+
+    def __getattr__(self, name):
+        self.renewals += name == "renew"
+        return getattr(self.target, name)
