Stop victims of urgent work after at most 2 s without a checkpoint

Cause: a victim had 10 s to write its checkpoint whatever it made room for, and calls to a worker that does not answer prolonged that, while urgent work must start within 3.2 s.

Change: the priority of an eviction's beneficiary decides the bound: 2 s for urgent work, 10 s otherwise. An eviction in progress gets the shorter bound when urgent work comes, and the calls run beside the wait. The eviction has its own module.

Result: with a checkpoint that never ends, and with a checkpoint call that never returns, an urgent gang runs 3.2 s after its submission on the virtual clock.

Conclusion: a checkpoint that does not end no longer delays urgent work.

--- a/magnoliaglade/execution/_attempts.py
+++ b/magnoliaglade/execution/_attempts.py
@@ -11,6 +11,7 @@
 from magnoliaglade.execution import (
     _attempt_hooks,
     _calls,
+    _eviction,
     _failures,
     _gangs,
     _journal,
@@ -24,9 +25,6 @@
 from magnoliaglade.platform import worker as worker_lib
 from magnoliaglade.types import Epoch, JobId, WorkerId
 
-# A borrower that has not written its checkpoint by then is stopped without.
-CHECKPOINT_BOUND_S = 10.0
-_CHECKPOINT_POLL_S = 0.5
 # Pause before a step is repeated that the owner was not allowed to make.
 _AUTHORITY_RETRY_S = 0.5
 # Pause before a job is started again; doubles with each failure, so that a job
@@ -79,9 +77,11 @@
         self._stopper = _stopping.Stopper(
             domain=domain, clock=clock, calls=calls
         )
+        self._evictor = _eviction.Evictor(
+            clock=clock, renewal=self.renewal, stopper=self._stopper
+        )
         self._launching: dict[JobId, _launch.Launch] = {}
         self._ending: dict[JobId, dict[int, _gangs.ActiveGang]] = {}
-        self._evicting: set[JobId] = set()
         self._not_before_s: dict[JobId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -125,13 +125,13 @@
         self._launching[entry.job] = launch
         self._spawn(self._start(launch))
 
-    def evict(self, job: JobId) -> None:
+    def evict(
+        self, job: JobId, *, bound_s: float = _eviction.CHECKPOINT_BOUND_S
+    ) -> None:
         """Checkpoints within a bound and stops a job in the background."""
         gang = self.renewal.gangs.get(job)
-        if gang is None or job in self._evicting:
-            return
-        self._evicting.add(job)
-        self._spawn(self._evict(gang))
+        if gang is not None and self._evictor.begin(job, bound_s):
+            self._spawn(self._evict(gang))
 
     def stop_cancelled(self, job: JobId) -> None:
         """Stops what runs of a job that has ended in the table.
@@ -319,27 +319,10 @@
         return await self.journal.write_eventually(*records)
 
     async def _evict(self, gang: _gangs.ActiveGang) -> None:
-        try:
-            if gang.launch.spec.gang.checkpointable:
-                await self._checkpoint(gang)
-            # The gang may have ended while its checkpoint was written.
-            if self.renewal.gangs.get(gang.job) is not gang:
-                return
+        # The gang may have ended while its checkpoint was written.
+        if await self._evictor.checkpoint(gang):
             self.renewal.remove(gang.job)
             self.end(gang, _records.FailureCause.EVICTED)
-        finally:
-            self._evicting.discard(gang.job)
-
-    async def _checkpoint(self, gang: _gangs.ActiveGang) -> None:
-        before = gang.checkpoint
-        bound_s = self.clock.now() + CHECKPOINT_BOUND_S
-        await self._stopper.checkpoint(gang)
-        while self.clock.now() < bound_s:
-            await self.clock.sleep(_CHECKPOINT_POLL_S)
-            await self.renewal.poll(gang)
-            is_written = gang.checkpoint not in ("", before)
-            if is_written or gang.job not in self.renewal.gangs:
-                return
 
     async def _clear_orphan(
         self, worker: WorkerId, job: JobId, attempt: int, holds_room: bool
--- a/magnoliaglade/execution/_term.py
+++ b/magnoliaglade/execution/_term.py
@@ -10,6 +10,7 @@
     _attempt_hooks,
     _attempts,
     _calls,
+    _eviction,
     _hooks,
     _journal,
     _launch,
@@ -154,7 +155,7 @@
             return
         plan = self.hooks.decide(self.hooks.refine(snapshot))
         for eviction in plan.evictions:
-            self.attempts.evict(eviction.job)
+            self._evict(eviction)
         await self._refuse(plan.refusals)
         for placement in plan.starts:
             entry = self.journal.table.get(placement.job)
@@ -200,6 +201,15 @@
             return False
         return self.attempts.is_startable(entry)
 
+    def _evict(self, eviction: scheduling.Eviction) -> None:
+        bound_s = _eviction.CHECKPOINT_BOUND_S
+        if eviction.beneficiary is not None:
+            entry = self.journal.table.get(eviction.beneficiary)
+            urgent = scheduling.Priority.URGENT
+            if entry is not None and entry.spec.gang.priority >= urgent:
+                bound_s = _eviction.URGENT_CHECKPOINT_BOUND_S
+        self.attempts.evict(eviction.job, bound_s=bound_s)
+
     async def _refuse(self, refusals: tuple[scheduling.Refusal, ...]) -> None:
         for refusal in refusals:
             entry = self.journal.table.get(refusal.job)
--- a/magnoliaglade/execution/tests/test_owner.py
+++ b/magnoliaglade/execution/tests/test_owner.py
@@ -127,6 +127,37 @@
         assert jobs == {"j", "k"}
         await node.close()
 
+    @pytest.mark.parametrize("is_silent", [False, True])
+    async def test_urgent_work_does_not_wait_for_checkpoints(self, is_silent):
+        """Guards against urgent work that starts later than after 3.2 s."""
+        beneficiary = JobId("batch")
+
+        def decide(snapshot):
+            plan = harness.greedy(snapshot)
+            is_due = JobId("j") in snapshot.running and not plan.starts
+            victim = scheduling.Eviction(
+                job=JobId("j"), beneficiary=beneficiary
+            )
+            return dataclasses.replace(
+                plan, evictions=(victim,) if is_due else ()
+            )
+
+        cluster, node = await make_owner(decide=decide)
+        await submit(node, "j", tasks=4)
+        for worker in cluster.workers.values():
+            worker.checkpoint_s = 1e9
+            if is_silent:
+                worker.checkpoint = lambda _: cluster.clock.sleep(1e9)
+        # The victim has a long bound already when the urgent job comes.
+        await submit(node, "batch", tasks=4)
+        assert len(cluster.running("j")) == 4
+        beneficiary = JobId("u")
+        urgent = scheduling.Priority.URGENT
+        await node.owner.cancel(JobId("batch"))
+        await submit(node, "u", tasks=4, priority=urgent, run_s=3.2)
+        assert len(cluster.running("u")) == 4
+        await node.close()
+
     async def test_permanent_refusal_ends_the_job(self):
         """Guards against a job that waits for ever and can never run."""
 
