Start inherited jobs only when the former owner can start nothing

Cause: a new owner asked a majority of its own view before a takeover. When the former owner acquired the domain in another view, its members could still grant it to act, and both owners could start the same pending job. A new owner also started jobs before it knew the zone removal intents that a majority of the view holds.

Change: an epoch keeps the view of the instance that raised it, and store.Owned.previous_members carries the view before. Jobs that are in the log at a takeover start, and move, only when every listed worker is fenced, or when the leases of the others have ended and a majority of the previous members has agreed. Members that agreed grant nothing to earlier epochs any more. Jobs accepted by the new owner start at once. Nothing starts until ConfigurationAgent.collect() has answers of a majority of the view.

Result: the test of the race with a former owner under grants fails without the agreement, and the test of the intents fails without the answers.

Conclusion: the two races no longer start a job twice or in a removed zone. The view at the acquisition counts; a view that grew afterwards is not known to the successor.

--- a/magnoliaglade/daemon/_entry.py
+++ b/magnoliaglade/daemon/_entry.py
@@ -179,7 +179,10 @@
     def _build_membership(self) -> None:
         self.lease = store_lib.InstanceLease(store=self.store, clock=self.clock)
         self.ownership = store_lib.Ownership(
-            store=self.store, instance=self.instance, lease=self.lease
+            store=self.store,
+            instance=self.instance,
+            lease=self.lease,
+            members=lambda: self._view().instances,
         )
         options = self.settings
         self.registry = membership.MemberRegistry(
@@ -277,6 +280,7 @@
             outage=self.outage,
             loads=loads,
             router=self.router,
+            is_informed=self._is_informed,
         )
         self.campaign = membership.OwnershipCampaign(
             ownership=self.ownership,
@@ -391,6 +395,11 @@
     def _view(self) -> membership.View:
         return self.registry.view
 
+    async def _is_informed(self) -> bool:
+        answered = await self.agent.collect()
+        view = self._view()
+        return len(answered & set(view.instances)) >= view.majority
+
     def _zones(self) -> frozenset[ZoneId]:
         current = self.agent.configuration
         return (
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -1,7 +1,7 @@
 """Connects the owners of scheduling domains to the rest of the process."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
@@ -75,6 +75,7 @@
         outage: membership.OutageGrants,
         loads: execution.LoadBoard,
         router: execution.JobRouter,
+        is_informed: Callable[[], Awaitable[bool]],
     ) -> None:
         self.clock = clock
         self.store = store
@@ -87,6 +88,7 @@
         self.outage = outage
         self.loads = loads
         self.router = router
+        self.is_informed = is_informed
         self._run_times = scheduling.RunTimeEstimator()
 
     def make(self, owned: store_lib.Owned) -> execution.DomainOwner:
@@ -110,6 +112,8 @@
             startable_zones=self.startable_zones,
             may_act_in_outage=lambda: self.outage.may_act(domain),
             refine=lambda snapshot: self._refine(snapshot, domain),
+            is_informed=self.is_informed,
+            is_takeover_agreed=self._is_takeover_agreed,
             expected_run_s=self._expected_run_s,
             on_run_time=self._note_run_time,
             zone_policy=lambda: self._zone_policy(zone),
@@ -119,6 +123,11 @@
             forward=self.router.forward,
         )
 
+    async def _is_takeover_agreed(self, owned: store_lib.Owned) -> bool:
+        return await self.outage.agree_to_takeover(
+            owned.domain, owned.epoch, owned.previous_members
+        )
+
     def _expected_run_s(self, gang: scheduling.Gang) -> float:
         return self._run_times.predict([gang])[0]
 
--- a/magnoliaglade/execution/_hooks.py
+++ b/magnoliaglade/execution/_hooks.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 from magnoliaglade import configuration, scheduling
+from magnoliaglade import store as store_lib
 from magnoliaglade.execution import (
     _attempt_hooks,
     _calls,
@@ -24,6 +25,11 @@
     raise _errors.ForwardError(f"{domain}: no forward is set")
 
 
+async def _agree(*_: object) -> bool:
+    """Stands for a question that is not set."""
+    return True
+
+
 async def _no_delegate(*_: object) -> None:
     """Stands for a delegate that is not set."""
 
@@ -52,6 +58,10 @@
         forward: hands a job to another domain, see `Moves`.
         on_renewed: awaited after each renewal round with epoch and gangs; for
             the renewal delegate.
+        is_informed: whether a majority of the view has told its zone removal
+            intents; asked until it is, and nothing starts before.
+        is_takeover_agreed: whether a majority of the predecessor's view lets
+            it act no more; asked while a listed worker is not fenced.
         on_lost: told once when another owner has taken over.
         on_step: awaited before each step of a launch, or None.
     """
@@ -73,6 +83,8 @@
     on_renewed: Callable[[Epoch, list[_gangs.ActiveGang]], Awaitable[None]] = (
         _no_delegate
     )
+    is_informed: Callable[[], Awaitable[bool]] = _agree
+    is_takeover_agreed: Callable[[store_lib.Owned], Awaitable[bool]] = _agree
     on_lost: Callable[[], None] = _ignore
     on_step: Callable[[_launch.LaunchStep, JobId], Awaitable[None]] | None = (
         None
--- a/magnoliaglade/execution/_moves.py
+++ b/magnoliaglade/execution/_moves.py
@@ -32,6 +32,7 @@
             in service.
         forward: returns when the other domain has the job in its log; raises
             `ForwardError` otherwise.
+        may_move: whether no earlier owner may still start a pending job.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         zone_policy: Callable[[], configuration.ZonePolicy | None],
         choose_domain: ChooseDomain,
         forward: Forward,
+        may_move: Callable[[JobId], bool],
         on_lost: Callable[[Exception], None],
     ) -> None:
         self.clock = clock
@@ -51,6 +53,7 @@
         self.zone_policy = zone_policy
         self.choose_domain = choose_domain
         self.forward = forward
+        self.may_move = may_move
         self.on_lost = on_lost
         self._tasks: dict[JobId, asyncio.Task[None]] = {}
         self._slots = asyncio.Semaphore(_MAX_FORWARDS)
@@ -63,7 +66,8 @@
         if policy is None:
             return
         for entry in list(self.journal.table.in_phase(_PENDING)):
-            if not self.attempts.holds(entry.job):
+            is_held = self.attempts.holds(entry.job)
+            if not is_held and self.may_move(entry.job):
                 self._move(entry)
         if policy is configuration.ZonePolicy.CHECKPOINT:
             for gang in list(self.attempts.renewal.gangs.values()):
--- a/magnoliaglade/execution/_term.py
+++ b/magnoliaglade/execution/_term.py
@@ -19,7 +19,7 @@
     _takeover,
 )
 from magnoliaglade.platform import worker as worker_lib
-from magnoliaglade.types import WorkerId, ZoneId
+from magnoliaglade.types import JobId, WorkerId, ZoneId
 
 # Slots written since the last snapshot; bounds the time of a takeover.
 COMPACT_SLOTS = 1000
@@ -89,25 +89,31 @@
             zone_policy=hooks.zone_policy,
             choose_domain=hooks.choose_domain,
             forward=hooks.forward,
+            may_move=lambda job: job not in self._inherited,
             on_lost=on_lost,
         )
         self._unfenced: set[WorkerId] = set()
         self._fenced_after_s = 0.0
+        self._inherited: set[JobId] = set()
+        self._is_informed = False
         self._compacted_slot = 0
         self._compact_after_s = 0.0
 
     async def adopt(self) -> None:
         """Fences the workers and continues what the predecessor left.
 
-        A worker that does not answer is asked in each renewal round. Until
-        it answers or the leases that the predecessor gave have ended, nothing
-        starts.
+        A worker that does not answer is asked in each renewal round. Jobs
+        that are in the log now start when every listed worker has answered,
+        or when the predecessor may act no more and its leases have ended.
 
         Raises:
             StaleEpochError: another owner has a higher epoch.
             StoreError: the owner may not act.
         """
         table = self.journal.table
+        self._inherited = {
+            e.job for p in _records.JobPhase for e in table.in_phase(p)
+        }
         workers = set(self.hooks.workers())
         for entry in table.in_phase(_records.JobPhase.ACTIVE):
             if entry.placement is not None:
@@ -146,6 +152,7 @@
 
     async def decide(self) -> None:
         """Moves, evicts, refuses and starts jobs, in this order."""
+        await self._settle_takeover()
         self.moves.step()
         await self._compact()
         if not self._may_start_now():
@@ -183,11 +190,23 @@
         await self.attempts.abandon()
         await self.moves.abandon()
 
+    async def _settle_takeover(self) -> None:
+        if not self._is_informed:
+            self._is_informed = await self.hooks.is_informed()
+        if self._inherited and await self._is_alone():
+            self._inherited.clear()
+
+    async def _is_alone(self) -> bool:
+        """Tells whether the predecessor can start nothing any more."""
+        if not self._unfenced:
+            return True
+        is_ended = self.clock.now() >= self._fenced_after_s
+        if is_ended and self._unfenced.isdisjoint(self.hooks.workers()):
+            return True
+        return is_ended and await self.hooks.is_takeover_agreed(self.owned)
+
     def _may_start_now(self) -> bool:
-        is_fenced = (
-            not self._unfenced or self.clock.now() >= self._fenced_after_s
-        )
-        if not (is_fenced and self.may_start()):
+        if not (self._is_informed and self.may_start()):
             return False
         return self.zone in self.hooks.startable_zones()
 
@@ -199,6 +218,8 @@
             entry.spec.gang.at_most_once or not self.hooks.may_act_in_outage()
         ):
             return False
+        if entry.job in self._inherited:
+            return False
         return self.attempts.is_startable(entry)
 
     def _evict(self, eviction: scheduling.Eviction) -> None:
--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -234,6 +234,55 @@
 
 
 class TestTwoOwners:
+    @pytest.mark.parametrize("may_old_act", [True, False])
+    async def test_inherited_jobs_wait_for_the_former_owner(self, may_old_act):
+        """Guards against a job of two owners, one of them under grants."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        old.startable = frozenset()
+        listed = cluster.listed()
+        # It does not meet the worker that its successor fences.
+        await old.own(workers=lambda: {WorkerId("w1"): listed["w1"]})
+        await old.owner.submit(harness.make_spec("p"))
+        new.links["w1"].is_cut = old.store.is_down = True
+        old.has_grants = may_old_act
+
+        async def is_agreed(owned):
+            return not old.has_grants
+
+        await new.own(is_takeover_agreed=is_agreed)
+        await new.owner.submit(harness.make_spec("k"))
+        await cluster.clock.advance(2)
+        # The former owner does not know this job.
+        assert len(cluster.running("k")) == 2
+        await new.owner.cancel(JobId("k"))
+        old.startable = frozenset({harness.ZONE})
+        await cluster.clock.advance(17)
+        assert len(cluster.running("p")) == (2 if may_old_act else 0)
+        await cluster.clock.advance(40)
+        assert len(cluster.running("p")) == 2
+        assert not cluster.overlaps("p")
+        await new.close()
+        await old.close()
+
+    async def test_nothing_starts_before_intents_are_known(self):
+        """Guards against a start in a zone that an intent has removed."""
+        cluster = harness.Cluster()
+        node = harness.Node(cluster, "a")
+        answers = []
+
+        async def is_informed():
+            return bool(answers)
+
+        await node.own(is_informed=is_informed)
+        await node.owner.submit(harness.make_spec("j"))
+        await cluster.clock.advance(30)
+        assert cluster.runs("j") == []
+        answers.append("majority")
+        await cluster.clock.advance(2)
+        assert len(cluster.running("j")) == 2
+        await node.close()
+
     async def test_paused_owner_does_nothing_after_its_successor(self):
         """Guards against starts, stops and records of a paused owner."""
         cluster = harness.Cluster()
--- a/magnoliaglade/membership/_grants.py
+++ b/magnoliaglade/membership/_grants.py
@@ -10,7 +10,7 @@
 import asyncio
 import dataclasses
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
@@ -73,6 +73,9 @@
         self.clock = clock
         self.store_reachable = store_reachable
         self._given: dict[str, _Given] = {}
+        # Epochs whose owners took over with this member's agreement; an
+        # earlier owner gets no grant any more.
+        self._agreed: dict[str, int] = {}
         network.handle(GrantRequest, self._on_request)
 
     def dump(self) -> dict[str, Any]:
@@ -91,6 +94,11 @@
         purpose = GrantPurpose(request.purpose)
         given = self._in_effect(request.domain)
         granted = _may_grant(sender, request.epoch, purpose, reachable, given)
+        agreed = self._agreed.get(request.domain, 0)
+        if purpose is GrantPurpose.ACT and request.epoch < agreed:
+            granted = False
+        if granted and purpose is GrantPurpose.TAKE_OVER:
+            self._agreed[request.domain] = max(agreed, request.epoch)
         if granted:
             self._given[request.domain] = _Given(
                 holder=sender,
@@ -130,14 +138,28 @@
         view: _view.View,
     ) -> bool:
         """Asks every member; returns whether a majority granted."""
+        return await self.collect_from(
+            view.instances, domain=domain, epoch=epoch, purpose=purpose
+        )
+
+    async def collect_from(
+        self,
+        members: Iterable[InstanceId],
+        *,
+        domain: str,
+        epoch: int,
+        purpose: GrantPurpose,
+    ) -> bool:
+        """Asks instances; returns whether a majority of them granted."""
+        members = tuple(members)
         sent_s = self.clock.now()
         request = GrantRequest(
             domain=domain, epoch=epoch, purpose=purpose.value, for_s=GRANT_S
         )
         granted = await asyncio.gather(
-            *(self._ask(m.instance, request) for m in view.members)
+            *(self._ask(m, request) for m in members)
         )
-        if not view.members or sum(granted) < view.majority:
+        if sum(granted) <= len(members) // 2:
             return False
         if purpose is GrantPurpose.ACT:
             self._until_s[domain] = sent_s + GRANT_S - GRANT_MARGIN_S
--- a/magnoliaglade/membership/_outage.py
+++ b/magnoliaglade/membership/_outage.py
@@ -1,13 +1,13 @@
 """Keeps grants for the owned domains while the store is down."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from magnoliaglade import base
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.membership import _grants, _view
-from magnoliaglade.types import Epoch
+from magnoliaglade.types import Epoch, InstanceId
 
 # Two further attempts fit into the time of a grant.
 COLLECT_S = 1.0
@@ -69,6 +69,27 @@
             view=view,
         )
 
+    async def agree_to_takeover(
+        self, domain: str, epoch: Epoch, members: Iterable[InstanceId]
+    ) -> bool:
+        """Asks the predecessor's view to let it act no more.
+
+        Args:
+            domain: the domain.
+            epoch: epoch of this instance's ownership.
+            members: view of the owner before.
+
+        Returns:
+            Whether a majority agreed; owners of earlier epochs get no grants
+            from these members from then on.
+        """
+        return await self.collector.collect_from(
+            members,
+            domain=domain,
+            epoch=epoch,
+            purpose=_grants.GrantPurpose.TAKE_OVER,
+        )
+
     async def _run(self) -> None:
         while True:
             if not self.store_reachable():
--- a/magnoliaglade/membership/tests/test_membership.py
+++ b/magnoliaglade/membership/tests/test_membership.py
@@ -142,6 +142,14 @@
         await clock.advance(0.5)
         assert await self.collect(collectors["b"], view, "take-over", 2)
 
+    async def test_agreed_takeover_ends_grants_of_earlier_epochs(self):
+        """Guards against a former owner that gets grants again later."""
+        clock, _, view, _, collectors = self.make()
+        assert await self.collect(collectors["b"], view, "take-over", 2)
+        await clock.advance(10)
+        assert not await self.collect(collectors["a"], view, "act", 1)
+        assert await self.collect(collectors["b"], view, "act", 2)
+
     async def test_minority_gets_no_grant(self):
         """Guards against starts on the smaller side of a partition."""
         _, hub, view, _, collectors = self.make()
--- a/magnoliaglade/store/_ownership.py
+++ b/magnoliaglade/store/_ownership.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+from collections.abc import Callable, Iterable
 
 import msgpack
 
@@ -13,12 +14,23 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Owned:
-    """The right to act for a domain in one epoch, while the lease is valid."""
+    """The right to act for a domain in one epoch, while the lease is valid.
+
+    Attributes:
+        domain: the domain.
+        epoch: the epoch.
+        lease: lease of the owner key.
+        instance_lease: source of the lease's validity.
+        previous_members: view of the owner of the epoch before, as it was
+            when that one acquired the domain; empty if there was none. A
+            majority of it may still let that owner act.
+    """
 
     domain: str
     epoch: Epoch
     lease: LeaseId
     instance_lease: InstanceLease
+    previous_members: tuple[InstanceId, ...] = ()
 
     @property
     def is_valid(self) -> bool:
@@ -40,14 +52,24 @@
 
 
 class Ownership:
-    """Acquires and releases domains for one instance."""
+    """Acquires and releases domains for one instance.
+
+    Attributes:
+        members: the instances of the present view; kept with each epoch.
+    """
 
     def __init__(
-        self, *, store: Store, instance: InstanceId, lease: InstanceLease
+        self,
+        *,
+        store: Store,
+        instance: InstanceId,
+        lease: InstanceLease,
+        members: Callable[[], Iterable[InstanceId]] = tuple,
     ) -> None:
         self.store = store
         self.instance = instance
         self.lease = lease
+        self.members = members
 
     async def acquire(self, domain: str) -> Owned | None:
         """Tries to become the owner; None if another instance is.
@@ -62,9 +84,13 @@
         lease = self.lease.check()
         if not await self._create_owner_key(domain, lease):
             return None
-        epoch = await self._raise_epoch(domain)
+        epoch, previous = await self._raise_epoch(domain)
         owned = Owned(
-            domain=domain, epoch=epoch, lease=lease, instance_lease=self.lease
+            domain=domain,
+            epoch=epoch,
+            lease=lease,
+            instance_lease=self.lease,
+            previous_members=previous,
         )
         owned.check()
         return owned
@@ -116,14 +142,28 @@
         entry = await self.store.get(key)
         return entry is not None and entry.lease == lease
 
-    async def _raise_epoch(self, domain: str) -> Epoch:
+    async def _raise_epoch(
+        self, domain: str
+    ) -> tuple[Epoch, tuple[InstanceId, ...]]:
         key = f"epochs/{domain}"
+        tried: set[bytes] = set()
+        previous: tuple[InstanceId, ...] = ()
         while True:
             entry = await self.store.get(key)
-            current = msgpack.unpackb(entry.value)["epoch"] if entry else 0
+            known = msgpack.unpackb(entry.value) if entry else {}
+            current = known.get("epoch", 0)
+            # A value of this call, whose answer was lost, is not the
+            # predecessor's.
+            if entry is None or entry.value not in tried:
+                previous = tuple(known.get("members", ()))
             value = msgpack.packb(
-                {"epoch": current + 1, "instance": self.instance}
+                {
+                    "epoch": current + 1,
+                    "instance": self.instance,
+                    "members": sorted(self.members()),
+                }
             )
+            tried.add(value)
             expected = entry.revision if entry else 0
             # A conflict, or an unknown outcome, means that the epoch may have
             # risen already. Raising it once more is harmless.
@@ -131,7 +171,7 @@
                 _errors.ConflictError, _errors.StoreUnknownError
             ):
                 await self.store.put(key, value, expected=expected)
-                return Epoch(current + 1)
+                return Epoch(current + 1), previous
 
 
 def _owner_key(domain: str) -> str:
--- a/magnoliaglade/store/tests/test_store.py
+++ b/magnoliaglade/store/tests/test_store.py
@@ -180,6 +180,28 @@
         for lease in leases:
             await lease.stop()
 
+    @pytest.mark.parametrize("lost", [0, 2])
+    async def test_previous_members_survive_lost_answers(self, lost):
+        """Guards against a successor that asks its own view instead."""
+        clock, _, store = make_store()
+        lease = store_lib.InstanceLease(store=store, clock=clock)
+        await lease.start()
+        views = [("a", "b"), ("b", "c")]
+        ownership = store_lib.Ownership(
+            store=store,
+            instance=InstanceId("b"),
+            lease=lease,
+            members=lambda: views[0],
+        )
+        owned = await ownership.acquire("jobs.z")
+        assert owned.previous_members == ()
+        await ownership.release(owned)
+        del views[0]
+        store.lost_answers = lost
+        owned = await ownership.acquire("jobs.z")
+        assert owned.previous_members == ("a", "b")
+        await lease.stop()
+
     async def test_lost_answers_do_not_share_an_epoch(self):
         """Guards against one epoch for two owners after a lost answer."""
         clock, _, store = make_store()
