Quarantine bad workers and ramp up returned zones

Cause: the daemon passed neither outcomes to scheduling.Quarantine nor its states to the decisions, and a zone that returned was filled at one moment.

Change: the owners of a process share one Quarantine, which is told each outcome and sets the state of available workers. A zone that was seen removed and is in service again is used by scheduling.with_return_ramp.

Conclusion: an owner that takes over within the ramp does not know of it.

--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -8,6 +8,7 @@
 from magnoliaglade import configuration, execution, membership, scheduling
 from magnoliaglade import platform as platform_lib
 from magnoliaglade import store as store_lib
+from magnoliaglade.daemon import _worker_states
 from magnoliaglade.platform import instance_list as instance_list_lib
 from magnoliaglade.platform import worker as worker_lib
 from magnoliaglade.types import AccountId, InstanceId, JobId, WorkerId, ZoneId
@@ -58,7 +59,8 @@
 class DomainFactory:
     """Builds the owner of a domain with its hooks.
 
-    The learned run times are kept per process and feed all owners in it.
+    What is learned of run times, workers and zones is kept per process and
+    feeds all owners in it.
     """
 
     def __init__(
@@ -90,6 +92,10 @@
         self.router = router
         self.is_informed = is_informed
         self._run_times = scheduling.RunTimeEstimator()
+        self._health = _worker_states.WorkerHealth(
+            clock=clock, quarantine=scheduling.Quarantine()
+        )
+        self._returns = _worker_states.ZoneReturns(clock=clock)
 
     def make(self, owned: store_lib.Owned) -> execution.DomainOwner:
         """Returns the owner for a domain that was acquired."""
@@ -107,7 +113,8 @@
     def _hooks(self, zone: ZoneId, domain: str) -> execution.OwnerHooks:
         return execution.OwnerHooks(
             decide=lambda snapshot: scheduling.decide(snapshot, seed=0),
-            workers=lambda: self.fleet.workers(zone),
+            workers=lambda: self._health.with_states(self.fleet.workers(zone)),
+            on_outcome=self._health.note,
             client=self.fleet.client,
             startable_zones=self.startable_zones,
             may_act_in_outage=lambda: self.outage.may_act(domain),
@@ -142,7 +149,9 @@
 
     def _zone_policy(self, zone: ZoneId) -> configuration.ZonePolicy | None:
         current = self.configured()
-        if current is None or zone not in self.removed_zones():
+        is_removed = zone in self.removed_zones()
+        self._returns.observe(zone, is_removed=is_removed)
+        if current is None or not is_removed:
             return None
         return current.zone_policy
 
@@ -152,6 +161,7 @@
         current = self.configured()
         if current is None:
             return snapshot
+        snapshot = self._returns.apply(snapshot)
         gangs = list(snapshot.pending)
         expected = self._run_times.predict(gangs)
         return dataclasses.replace(
