--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -1,13 +1,14 @@
 """Connects the owners of scheduling domains to the rest of the process."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import configuration, execution, membership, scheduling
 from magnoliaglade import platform as platform_lib
 from magnoliaglade import store as store_lib
+from magnoliaglade.daemon import _worker_states
 from magnoliaglade.platform import instance_list as instance_list_lib
 from magnoliaglade.platform import worker as worker_lib
 from magnoliaglade.types import AccountId, InstanceId, JobId, WorkerId, ZoneId
@@ -58,7 +59,8 @@
 class DomainFactory:
     """Builds the owner of a domain with its hooks.
 
-    The learned run times are kept per process and feed all owners in it.
+    What is learned of run times, workers and zones is kept per process and
+    feeds all owners in it.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         outage: membership.OutageGrants,
         loads: execution.LoadBoard,
         router: execution.JobRouter,
+        is_informed: Callable[[], Awaitable[bool]],
     ) -> None:
         self.clock = clock
         self.store = store
@@ -87,7 +90,12 @@
         self.outage = outage
         self.loads = loads
         self.router = router
+        self.is_informed = is_informed
         self._run_times = scheduling.RunTimeEstimator()
+        self._health = _worker_states.WorkerHealth(
+            clock=clock, quarantine=scheduling.Quarantine()
+        )
+        self._returns = _worker_states.ZoneReturns(clock=clock)
 
     def make(self, owned: store_lib.Owned) -> execution.DomainOwner:
         """Returns the owner for a domain that was acquired."""
@@ -105,11 +113,16 @@
     def _hooks(self, zone: ZoneId, domain: str) -> execution.OwnerHooks:
         return execution.OwnerHooks(
             decide=lambda snapshot: scheduling.decide(snapshot, seed=0),
-            workers=lambda: self.fleet.workers(zone),
+            workers=lambda: self._health.with_states(self.fleet.workers(zone)),
+            on_outcome=self._health.note,
             client=self.fleet.client,
             startable_zones=self.startable_zones,
             may_act_in_outage=lambda: self.outage.may_act(domain),
             refine=lambda snapshot: self._refine(snapshot, domain),
+            is_informed=self.is_informed,
+            is_takeover_agreed=self._is_takeover_agreed,
+            expected_run_s=self._expected_run_s,
+            on_run_time=self._note_run_time,
             zone_policy=lambda: self._zone_policy(zone),
             choose_domain=lambda spec: self.router.choose_domain(
                 spec, exclude=domain
@@ -117,9 +130,28 @@
             forward=self.router.forward,
         )
 
+    async def _is_takeover_agreed(self, owned: store_lib.Owned) -> bool:
+        return await self.outage.agree_to_takeover(
+            owned.domain, owned.epoch, owned.previous_members
+        )
+
+    def _expected_run_s(self, gang: scheduling.Gang) -> float:
+        return self._run_times.predict([gang])[0]
+
+    def _note_run_time(self, gang: scheduling.Gang, run_s: float) -> None:
+        seen = scheduling.Observation(
+            account=gang.account,
+            kind=gang.kind,
+            declared=gang.declared_run_s,
+            actual=run_s,
+        )
+        self._run_times.partial_fit([seen])
+
     def _zone_policy(self, zone: ZoneId) -> configuration.ZonePolicy | None:
         current = self.configured()
-        if current is None or zone not in self.removed_zones():
+        is_removed = zone in self.removed_zones()
+        self._returns.observe(zone, is_removed=is_removed)
+        if current is None or not is_removed:
             return None
         return current.zone_policy
 
@@ -129,6 +161,7 @@
         current = self.configured()
         if current is None:
             return snapshot
+        snapshot = self._returns.apply(snapshot)
         gangs = list(snapshot.pending)
         expected = self._run_times.predict(gangs)
         return dataclasses.replace(
--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -13,6 +13,7 @@
     _errors,
     _hooks,
     _journal,
+    _lookout,
     _records,
     _renewal,
     _table,
@@ -101,6 +102,7 @@
         self._loops = [
             asyncio.create_task(self._run(self._decide_once, self._wait)),
             asyncio.create_task(self._run(self._renew_once, self._pause)),
+            asyncio.create_task(self._run(self._look_once, self._pause_look)),
         ]
 
     async def stop(self) -> None:
@@ -207,6 +209,16 @@
         """
         return copy.copy(self._find(job))
 
+    def may_hold(self, submission: str) -> bool:
+        """Tells whether a submission that the table lacks may be accepted.
+
+        Its record may be in the log without an answer, or another owner may
+        have accepted it while this one does not hold a valid lease.
+        """
+        if not self.owned.is_valid:
+            return True
+        return self._require_term().journal.may_hold(submission)
+
     async def _commit(self, record: _records.Record) -> None:
         journal = self._require_term().journal
         is_in_doubt = journal.is_in_doubt(record)
@@ -292,6 +304,12 @@
     async def _pause(self) -> None:
         await self.clock.sleep(_renewal.TASK_RENEW_S)
 
+    async def _pause_look(self) -> None:
+        await self.clock.sleep(_lookout.LOOK_PERIOD_S)
+
+    async def _look_once(self) -> None:
+        await self._require_term().look()
+
     async def _decide_once(self) -> None:
         self._wake.clear()
         await self._reacquire()
