Confirm the configuration with a small marker instead of the document

Cause: readers fetched the whole document each second, 2,158 bytes/s per instance on average and 5,741 bytes/s for the busiest reader.

Change: a writer announces its stamp in config/marker before it replaces config/current. The store revision that an announced write replaces never falls, so a marker with the stamp of the revision in force proves that nothing newer was accepted. The document is read after a watch event, every 10 s, and when the marker differs, which also covers a store that has gone back. A watch of 1 s would not notice such a store before the next read of the document, and its confirmations would be 1 s older. Peer messages leave out fields that hold their default.

--- a/magnoliaglade/configuration/_agent.py
+++ b/magnoliaglade/configuration/_agent.py
@@ -219,7 +219,7 @@
                 await self._reader.watch(wait_s=self.watch_wait_s)
             except (_errors.ConfigurationError, TimeoutError):
                 await self.clock.sleep(self.refresh_s)
-            await self._read()
+            await self._read(is_whole=True)
 
     async def _hint_loop(self) -> None:
         while True:
@@ -245,9 +245,9 @@
         is_reached = states == {_StoreState.REACHED.value}
         return is_reached and self._age_s() <= _RELAY_MAX_AGE_S
 
-    async def _read(self) -> bool:
+    async def _read(self, *, is_whole: bool = False) -> bool:
         """Reads the store; tells whether it confirmed a revision."""
-        reading = await self._reader.read(self._stored)
+        reading = await self._reader.read(self._stored, is_whole=is_whole)
         if reading is None or reading.stored is None:
             return False
         revision = reading.stored.configuration.revision
--- a/magnoliaglade/configuration/_reader.py
+++ b/magnoliaglade/configuration/_reader.py
@@ -14,6 +14,13 @@
 )
 
 _StoreState = _messages.StoreState
+# Between reads of the document the marker alone is read. It cannot tell
+# whether the document is damaged or was written without announcing it.
+DOCUMENT_AGE_S = 10.0
+# Share of a read's time for the marker, which a store in order answers in
+# milliseconds. With 0.4 a lost answer made changes take effect later at 10%
+# loss (95th percentile 1.78 s instead of 1.39 s).
+_MARKER_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -45,6 +52,7 @@
         self.state = _StoreState.NOT_TRIED
         self.fault: str | None = None
         self._store_revision = 0
+        self._document_read_s = float("-inf")
         self._lock = asyncio.Lock()
 
     def forget(self) -> None:
@@ -52,17 +60,20 @@
         if self.state is not _StoreState.REFUSED:
             self.state = _StoreState.NOT_TRIED
 
-    async def read(self, known: _stored.Stored | None) -> Reading | None:
+    async def read(
+        self, known: _stored.Stored | None, *, is_whole: bool = False
+    ) -> Reading | None:
         """Returns the current revision, or None if there is no such result.
 
         Args:
             known: the revision in force before the read.
+            is_whole: whether the document is read even if the marker would do.
         """
         started_s = self.clock.now()
         async with self._lock:
             try:
                 stored = await self.clock.wait_for(
-                    self._read_with_lineage(known), self.timeout_s
+                    self._read(known, is_whole), self.timeout_s
                 )
             except (
                 StoreWentBackError,
@@ -88,6 +99,34 @@
         )
         await self.clock.wait_for(call, wait_s + self.timeout_s)
 
+    async def _read(
+        self, known: _stored.Stored | None, is_whole: bool
+    ) -> _stored.Stored | None:
+        if (
+            known is not None
+            and not is_whole
+            and self._is_marker_enough()
+            and await self._is_current(known)
+        ):
+            return known
+        started_s = self.clock.now()
+        stored = await self._read_with_lineage(known)
+        self._document_read_s = started_s
+        return stored
+
+    def _is_marker_enough(self) -> bool:
+        age_s = self.clock.now() - self._document_read_s
+        return self.state is _StoreState.REACHED and age_s < DOCUMENT_AGE_S
+
+    async def _is_current(self, known: _stored.Stored) -> bool:
+        try:
+            return await self.clock.wait_for(
+                self.configurations.is_current(known.stamp),
+                self.timeout_s * _MARKER_SHARE,
+            )
+        except TimeoutError:
+            return False
+
     async def _read_with_lineage(
         self, known: _stored.Stored | None
     ) -> _stored.Stored | None:
--- a/magnoliaglade/configuration/_store.py
+++ b/magnoliaglade/configuration/_store.py
@@ -4,6 +4,7 @@
 every accepted one, each stamped with the writer and its sequence. A writer
 completes the history of the revision it replaces before it replaces it, so a
 write that was accepted and then superseded can always be found there.
+`config/marker` holds the stamp of the last write that was about to be made.
 `config/commands/<zone>` holds the latest command on a zone, which orders the
 commands of instances that do not hear each other.
 """
@@ -19,6 +20,7 @@
     _codec,
     _diff,
     _errors,
+    _marker,
     _schema,
     _stored,
 )
@@ -46,6 +48,7 @@
         self.store = store
         self.writer = writer
         self._stamps = store_lib.StampedWriter(store=store, writer=writer)
+        self._marker = _marker.MarkerWriter(store=store, stamps=self._stamps)
 
     async def current(self) -> _stored.Stored | None:
         """Returns the current configuration, or None before the first one.
@@ -143,6 +146,9 @@
             See `accept`.
         """
         try:
+            await self._marker.announce(
+                pending.stamp, replaces=pending.expected
+            )
             revision = await self._stamps.put(
                 CURRENT_KEY,
                 _codec.encode(pending.configuration),
@@ -171,6 +177,14 @@
         """Returns a revision from the history alone, or None."""
         return await self._read(f"{_HISTORY_PREFIX}{revision}")
 
+    async def is_current(self, stamp: store_lib.Stamp) -> bool:
+        """Tells whether an accepted write is certainly the last one.
+
+        False tells nothing; `current` then does.
+        """
+        with _translated():
+            return await self._marker.stamp() == stamp
+
     async def watch(self, *, after: int, wait_s: float) -> bool:
         """Waits for a write of the current revision.
 
--- a/magnoliaglade/configuration/tests/test_distribution.py
+++ b/magnoliaglade/configuration/tests/test_distribution.py
@@ -152,6 +152,20 @@
             assert not cluster[name].store.call_counts
             assert cluster[name].seen == [1, 2]
 
+    async def test_unchanged_document_is_rarely_read(self, cluster):
+        """Guards against a transfer of the whole document each second."""
+        store, keys = cluster[READERS[0]].store, []
+        get = store.get
+
+        async def noted_get(key):
+            keys.append(key)
+            return await get(key)
+
+        store.get = noted_get
+        await cluster.run(30)
+        assert keys.count("config/marker") >= 25
+        assert keys.count("config/current") <= 6
+
     async def test_lost_watch_heals(self, cluster):
         """Guards against a change missed because a watch went silent."""
 
--- a/magnoliaglade/peers/base.py
+++ b/magnoliaglade/peers/base.py
@@ -72,13 +72,21 @@
 
 
 def encode_message(value: Message) -> tuple[str, dict[str, Any]]:
-    """Returns the wire name and the fields of a message."""
+    """Returns the wire name and the fields that differ from their default."""
     fields = dataclasses.fields(value)  # type: ignore[arg-type]
+    values = {f.name: getattr(value, f.name) for f in fields}
     return type(value).__name__, {
-        f.name: getattr(value, f.name) for f in fields
+        f.name: values[f.name]
+        for f in fields
+        if not _is_default(f, values[f.name])
     }
 
 
+def _is_default(field: "dataclasses.Field[Any]", value: Any) -> bool:
+    # The type counts too, because 0, 0.0 and False are equal.
+    return type(value) is type(field.default) and value == field.default
+
+
 def decode_message(name: str, payload: Any) -> Message:
     """Builds the message of a wire name.
 
