Keep 4,000 revisions of the configuration and list the last 50

Cause: the history grew by every change, and history() read all values.

Change: the writer that crosses a multiple of 100 revisions deletes the ones that are 4,000 or more behind, in a task of its own, and stores the position afterwards, so the next one completes an interrupted pruning. A superseded write is found as long as the history holds it; an older one is reported as unknown, because a conflict would claim that it was not accepted. history() reads the last 50 revisions one by one.

Conclusion: the history and its listing are bounded.

--- a/magnoliaglade/configuration/__init__.py
+++ b/magnoliaglade/configuration/__init__.py
@@ -22,6 +22,7 @@
     to_yaml,
 )
 from magnoliaglade.configuration._diff import Change, diff
+from magnoliaglade.configuration._edits import with_zone_state
 from magnoliaglade.configuration._errors import (
     ConfigurationError,
     ConfigurationUnavailableError,
@@ -62,7 +63,6 @@
 )
 from magnoliaglade.configuration._store import (
     ConfigurationStore,
-    with_zone_state,
 )
 from magnoliaglade.configuration._stored import PendingWrite, Stored
 from magnoliaglade.configuration._zones import (
--- a/magnoliaglade/configuration/_store.py
+++ b/magnoliaglade/configuration/_store.py
@@ -1,7 +1,7 @@
 """Accepted revisions of the configuration in the store.
 
 `config/current` holds the current revision and `config/history/<revision>`
-every accepted one, each stamped with the writer and its sequence. A writer
+the last accepted ones, each stamped with the writer and its sequence. A writer
 completes the history of the revision it replaces before it replaces it, so a
 write that was accepted and then superseded can always be found there.
 `config/marker` holds the stamp of the last write that was about to be made.
@@ -16,18 +16,21 @@
 
 from magnoliaglade import store as store_lib
 from magnoliaglade.configuration import (
-    _check,
     _codec,
     _diff,
+    _edits,
     _errors,
     _marker,
+    _pruning,
     _schema,
     _stored,
 )
 from magnoliaglade.types import Revision, ZoneId
 
 CURRENT_KEY = "config/current"
-_HISTORY_PREFIX = "config/history/"
+_HISTORY_PREFIX = _pruning.HISTORY_PREFIX
+# A listing reads one document for each revision.
+LISTED_REVISIONS = 50
 _COMMAND_PREFIX = "config/commands/"
 
 # Each lost attempt means that another change was accepted. At 3,900 changes a
@@ -44,11 +47,21 @@
     are counted from 1 in each.
     """
 
-    def __init__(self, *, store: store_lib.Store, writer: str) -> None:
+    def __init__(
+        self,
+        *,
+        store: store_lib.Store,
+        writer: str,
+        history_revisions: int = _pruning.HISTORY_REVISIONS,
+    ) -> None:
         self.store = store
         self.writer = writer
+        self.history_revisions = history_revisions
         self._stamps = store_lib.StampedWriter(store=store, writer=writer)
         self._marker = _marker.MarkerWriter(store=store, stamps=self._stamps)
+        self._pruner = _pruning.HistoryPruner(
+            store=store, stamps=self._stamps, revisions=history_revisions
+        )
 
     async def current(self) -> _stored.Stored | None:
         """Returns the current configuration, or None before the first one.
@@ -71,15 +84,24 @@
             return current
         return None
 
-    async def history(self) -> tuple[_stored.Stored, ...]:
-        """Returns all accepted revisions, oldest first."""
-        with _translated():
-            entries, _ = await self.store.list_prefix(_HISTORY_PREFIX)
-        found = {s.configuration.revision: s for s in map(_decode, entries)}
+    async def history(
+        self, *, limit: int = LISTED_REVISIONS
+    ) -> tuple[_stored.Stored, ...]:
+        """Returns the accepted ones of the last revisions, oldest first.
+
+        Args:
+            limit: number of revisions to look up, at one store call each.
+        """
         current = await self.current()
-        if current:
-            found[current.configuration.revision] = current
-        return tuple(found[r] for r in sorted(found))
+        if current is None:
+            return ()
+        last = current.configuration.revision
+        found = [current]
+        for revision in range(last - 1, max(0, last - limit), -1):
+            stored = await self.recorded(revision)
+            if stored is not None:
+                found.append(stored)
+        return tuple(reversed(found))
 
     async def diff(self, old: int, new: int) -> tuple[_diff.Change, ...]:
         """Returns the differences between two revisions.
@@ -122,7 +144,7 @@
             ConfigurationUnknownError: the outcome is unknown, see `resolve`.
         """
         base = configuration.revision - 1 if base is None else base
-        _require_acceptable(configuration, base)
+        _edits.require_acceptable(configuration, base)
         try:
             current = await self._prepare(base)
         except _errors.ConfigurationUnknownError as error:
@@ -171,6 +193,9 @@
         # The next writer records it otherwise; see the module comment.
         with contextlib.suppress(_errors.ConfigurationError):
             await self._record(stored)
+        self._pruner.note_accepted(
+            pending.configuration.revision, base=pending.base
+        )
         return stored
 
     async def recorded(self, revision: int) -> _stored.Stored | None:
@@ -239,7 +264,7 @@
         for attempt in range(_CHANGE_ATTEMPTS):
             current = await self.current()
             if current is None:
-                raise no_configuration()
+                raise _edits.no_configuration()
             edited = edit(current.configuration)
             if edited == current.configuration:
                 return current
@@ -262,7 +287,9 @@
             InvalidConfigurationError: the zone is not configured.
             Otherwise see `accept`.
         """
-        return await self.change(lambda c: with_zone_state(c, zone, state))
+        return await self.change(
+            lambda c: _edits.with_zone_state(c, zone, state)
+        )
 
     async def _prepare(self, base: int) -> _stored.Stored | None:
         """Returns the current revision, which is then in the history."""
@@ -284,6 +311,7 @@
             if recorded is not None and recorded.stamp == pending.stamp:
                 return recorded
             current = await self.current()
+            self._require_unpruned(pending, current)
             conflict = await self._conflict(pending.base, current)
         except (
             _errors.ConfigurationUnavailableError,
@@ -294,6 +322,18 @@
             ) from error
         raise conflict
 
+    def _require_unpruned(
+        self, pending: _stored.PendingWrite, current: _stored.Stored | None
+    ) -> None:
+        """Raises if the write may have been in a part that was removed."""
+        last = current.configuration.revision if current else 0
+        if self._pruner.is_pruned(pending.configuration.revision, current=last):
+            raise _errors.ConfigurationUnknownError(
+                f"revision {pending.configuration.revision} is older than the "
+                f"history, which ends {self.history_revisions} before {last}",
+                pending=pending,
+            )
+
     async def _conflict(
         self, base: int, current: _stored.Stored | None
     ) -> _errors.ConflictingChangeError:
@@ -334,66 +374,12 @@
         return None if entry is None else _decode(entry)
 
 
-def with_zone_state(
-    configuration: _schema.Configuration,
-    zone: ZoneId,
-    state: _schema.ZoneState,
-) -> _schema.Configuration:
-    """Returns the configuration with another state of one zone.
-
-    Raises:
-        InvalidConfigurationError: the zone is not configured.
-    """
-    names = [z.zone for z in configuration.zones]
-    if zone not in names:
-        raise _errors.InvalidConfigurationError(
-            source=f"revision {configuration.revision}",
-            path="zones",
-            found=_errors.shown(zone),
-            allowed="one of " + ", ".join(names),
-        )
-    zones = tuple(
-        dataclasses.replace(z, state=state) if z.zone == zone else z
-        for z in configuration.zones
-    )
-    return dataclasses.replace(configuration, zones=zones)
-
-
 def _decode(entry: store_lib.Entry) -> _stored.Stored:
     return _stored.Stored.from_bytes(
         entry.value, source=entry.key, store_revision=entry.revision
     )
 
 
-def _require_acceptable(
-    configuration: _schema.Configuration, base: int
-) -> None:
-    if configuration.revision <= base:
-        raise _errors.InvalidConfigurationError(
-            source="configuration",
-            path="revision",
-            found=str(configuration.revision),
-            allowed=f"a revision above its base {base}",
-        )
-    # What is stored must be readable, also when it was not built by decoding.
-    _codec.decode(
-        _schema.Configuration,
-        _codec.encode(configuration),
-        source=f"revision {configuration.revision}",
-    )
-    _check.require_structure(configuration)
-
-
-def no_configuration() -> _errors.ConfigurationError:
-    """Returns the error for a command before the first configuration."""
-    return _errors.InvalidConfigurationError(
-        source=CURRENT_KEY,
-        path="",
-        found="nothing",
-        allowed="an accepted configuration; accept a generated one first",
-    )
-
-
 @contextlib.contextmanager
 def _translated() -> Iterator[Any]:
     try:
--- a/magnoliaglade/configuration/_zones.py
+++ b/magnoliaglade/configuration/_zones.py
@@ -12,6 +12,7 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.configuration import (
     _agent,
+    _edits,
     _errors,
     _intents,
     _messages,
@@ -176,7 +177,7 @@
             raise _errors.ConfigurationUnavailableError(
                 f"{self.network.instance} has no configuration in force yet"
             )
-        _store.with_zone_state(configuration, zone, _state(removed))
+        _edits.with_zone_state(configuration, zone, _state(removed))
         intent = self._new_intent(zone, removed, configuration.revision)
         self.intents.merge(intent)
         confirmed = await self._spread(intent)
@@ -314,7 +315,7 @@
             # writes a revision after this one, and the write below fails.
             current = await self.configurations.current()
             if current is None:
-                raise _store.no_configuration()
+                raise _edits.no_configuration()
             await self._record(intent)
             included = await self._included_since(intent)
             if included is not None:
@@ -332,7 +333,7 @@
     ) -> _stored.Stored:
         zone, state = ZoneId(intent.zone), _state(intent.removed)
         base = current.configuration
-        edited = _store.with_zone_state(base, zone, state)
+        edited = _edits.with_zone_state(base, zone, state)
         if edited == base and not force:
             return current
         revision = Revision(base.revision + 1)
--- a/magnoliaglade/configuration/tests/test_configuration_store.py
+++ b/magnoliaglade/configuration/tests/test_configuration_store.py
@@ -224,3 +224,47 @@
         assert "one of zone-a, zone-b, zone-c" in str(e.value)
         with pytest.raises(configuration_lib.InvalidConfigurationError):
             await mine.accept(following(base, zones=base.zones * 2))
+
+    async def test_history_is_bounded(self):
+        """Guards against growth, and a conflict reported for a pruned write."""
+        clock = clock_lib.ManualClock()
+        memory = store_lib.InMemoryStore(clock=clock)
+        store = standins.FaultyStore(store=memory, clock=clock)
+        writer = configuration_lib.ConfigurationStore(
+            store=store, writer="w", history_revisions=10
+        )
+        base = await writer.accept(first())
+        pending = configuration_lib.PendingWrite(
+            configuration=following(base.configuration),
+            base=1,
+            expected=base.store_revision,
+            stamp=store_lib.Stamp(writer="slow", sequence=1),
+        )
+        accepted = await writer.resolve(pending)
+
+        async def change(times):
+            for _ in range(times):
+                await writer.change(
+                    lambda c: dataclasses.replace(
+                        c, entry_instances=c.entry_instances % 9 + 1
+                    )
+                )
+                await clock.advance(0.1)
+
+        await change(9)
+        assert (await writer.resolve(pending)).stamp == accepted.stamp
+        delete = store.delete
+
+        async def lost_delete(key, **options):
+            store.delete = delete
+            raise store_lib.StoreUnknownError("request lost")
+
+        store.delete = lost_delete
+        await change(21)
+        assert store.delete == delete
+        kept = [s.configuration.revision for s in await writer.history()]
+        assert kept == list(range(23, 33))
+        entries, _ = await memory.list_prefix("config/history/")
+        assert len(entries) == 10
+        with pytest.raises(configuration_lib.ConfigurationUnknownError):
+            await writer.resolve(pending)
