Delete what failed owners left in a log, and fence writers that return late

Cause: slots and chunks that an owner had not deleted before it failed stayed for ever, a second compaction at the same slot overwrote chunks that the head pointed to, and a writer that was paused until its slots were deleted could create a slot again and take that for a success.

Deletions run in a task, so they no longer hold up appends. Chunks get a directory for each attempt, which the head names; heads of the earlier form are not read. A writer whose previous write is more than half of SLOT_RETENTION_S ago, by its monotonic or its wall clock, reads the head before it reports success, and open reads the head again at its end.

Each new test fails when the check it is for is taken out.

Conclusion: the number of keys is bounded by what one term retains.

--- a/magnoliaglade/store/_log.py
+++ b/magnoliaglade/store/_log.py
@@ -4,55 +4,28 @@
 A new owner closes its predecessor's log by creating an `open` batch in the
 first free slot; the predecessor's next create then conflicts, which fences it
 without any clock. The closing procedure follows the ledgers of BookKeeper.
+A slot that was deleted after a compaction could be created again; a writer
+that was paused for so long finds a snapshot above its slot in the head.
 """
 
 import asyncio
-import dataclasses
-import enum
-import itertools
-from typing import Any
 
 import msgpack
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade.store import _errors, _stamped
-from magnoliaglade.store.base import MAX_VALUE_BYTES, Entry, Store
+from magnoliaglade.store import _errors, _log_values, _retention, _stamped
+from magnoliaglade.store.base import Entry, Store
 from magnoliaglade.types import Epoch, InstanceId
 
-# Room for the stamp and the encoding overhead of a batch.
-_BATCH_BYTES = MAX_VALUE_BYTES - 4096
 # Compacted slots are deleted only after every earlier writer's lease and any
 # write of it that was delayed on the network have long ended.
 SLOT_RETENTION_S = 600.0
 # Pause before an append with an unknown outcome is resolved again.
 _RESOLVE_PAUSE_S = 0.2
-
-
-class BatchKind(enum.Enum):
-    """What a slot holds."""
-
-    OPEN = "open"
-    RECORDS = "records"
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Pending:
-    record: bytes
-    done: "asyncio.Future[int]"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Batch:
-    stamp: _stamped.Stamp
-    body: list[Any]
-    pending: list[_Pending]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Head:
-    snapshot_slot: int
-    chunks: int
-    revision: int
+# A slot that is created later than this after the one before may have been
+# deleted meanwhile, so the head is read. Half of the retention allows for
+# clocks that run at different rates.
+_TRUSTED_S = SLOT_RETENTION_S / 2
 
 
 class SingleWriterLog:
@@ -84,12 +57,18 @@
             store=store, writer=f"{writer}/{epoch}"
         )
         self._next_slot = 0
-        self._queue: list[_Pending] = []
-        self._unresolved: _Batch | None = None
+        self._queue: list[_log_values.Pending] = []
+        self._unresolved: _log_values.Batch | None = None
         self._flusher: asyncio.Task[None] | None = None
         self._last_write_s = float("-inf")
         self._failure: _errors.StoreError | None = None
-        self._retired: list[tuple[float, list[str]]] = []
+        self._janitor = _retention.Janitor(
+            store=store, clock=clock, retention_s=SLOT_RETENTION_S
+        )
+        self._written_at = self._instant()
+        # Slots from here on are neither retired nor left by a predecessor.
+        self._kept_slot = 0
+        self._attempted: list[str] = []
 
     @property
     def next_slot(self) -> int:
@@ -108,11 +87,30 @@
             LogFencedError: a writer of a higher epoch has opened the log.
             StoreError: the store did not answer; call `open` again.
         """
-        head = await self._read_head()
+        while True:
+            opened_at = self._instant()
+            head = await self._read_head()
+            records = await self._open_after(head)
+            # Slots may have been deleted while they were read.
+            latest = await self._read_head()
+            if latest.snapshot_slot < self._next_slot:
+                break
+        self._written_at = opened_at
+        self._kept_slot = head.snapshot_slot
+        self._janitor.inherit(
+            slots=self._slot_prefix(),
+            first_kept_slot=head.snapshot_slot,
+            chunks=self._chunk_prefix(),
+            # A predecessor wrote snapshots up to the slot of this open batch.
+            first_own_slot=self._next_slot,
+        )
+        return records
+
+    async def _open_after(self, head: _log_values.Head) -> list[bytes]:
         records = await self._read_snapshot(head)
         slot = head.snapshot_slot
         stamp = self._stamped.next_stamp()
-        body = [BatchKind.OPEN.value, self.epoch, []]
+        body = [_log_values.BatchKind.OPEN.value, self.epoch, []]
         existing = await self._read_slots(slot)
         while True:
             for entry in existing:
@@ -136,12 +134,12 @@
             StoreUnknownError: the record may be in the log.
             StoreError: the record is too large.
         """
-        if len(record) > _BATCH_BYTES:
+        if len(record) > _log_values.BATCH_BYTES:
             raise _errors.StoreError(f"record of {len(record)} bytes")
         if self._failure is not None:
             raise self._failure
         future: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._queue.append(_Pending(record=record, done=future))
+        self._queue.append(_log_values.Pending(record=record, done=future))
         if self._flusher is None or self._flusher.done():
             self._flusher = asyncio.create_task(self._flush())
         return await asyncio.shield(future)
@@ -158,28 +156,32 @@
         """
         head = await self._read_head()
         slot = self._next_slot
-        chunks = _split_chunks(records)
-        for index, chunk in enumerate(chunks):
-            await self.store.put(
-                self._chunk_key(slot, index), msgpack.packb(chunk)
-            )
         stamp = self._stamped.next_stamp()
+        # Keys of their own for each attempt: the head may point to the chunks
+        # of an earlier one at the same slot.
+        directory = f"{slot:012d}-{self.epoch}-{stamp.sequence}"
+        chunks = _log_values.split_chunks(records)
+        keys = self._chunk_keys(directory, len(chunks))
+        self._attempted += keys
+        for key, chunk in zip(keys, chunks, strict=True):
+            await self.store.put(key, msgpack.packb(chunk))
         try:
             await self._stamped.put(
                 self._head_key(),
-                [slot, len(chunks)],
+                [slot, len(chunks), directory],
                 expected=head.revision,
                 stamp=stamp,
             )
         except _errors.ConflictError as error:
             raise _errors.LogFencedError(self.name) from error
-        self._retire(head, slot)
-        await self._delete_retired()
+        self._retire(head, slot, keys)
+        self._janitor.clean()
 
     async def close(self) -> None:
         """Writes what is queued, then refuses further appends."""
         if self._flusher is not None:
             await asyncio.gather(self._flusher, return_exceptions=True)
+        await self._janitor.stop()
         if self._failure is None:
             self._failure = _errors.LogUnavailableError(f"{self.name}: closed")
 
@@ -204,37 +206,65 @@
     async def _write_batch(self) -> None:
         pending = self._take_batch()
         body = [
-            BatchKind.RECORDS.value,
+            _log_values.BatchKind.RECORDS.value,
             self.epoch,
             [p.record for p in pending],
         ]
-        batch = _Batch(
+        batch = _log_values.Batch(
             stamp=self._stamped.next_stamp(), body=body, pending=pending
         )
         await self._put(batch)
 
-    async def _put(self, batch: _Batch) -> None:
+    async def _put(self, batch: _log_values.Batch) -> None:
         slot = self._next_slot
         try:
-            await self._stamped.put(
-                self._slot_key(slot), batch.body, expected=0, stamp=batch.stamp
-            )
+            await self._create(slot, batch)
         except _errors.ConflictError:
             self._failure = _errors.LogFencedError(
                 f"{self.name}: slot {slot} holds another writer's batch"
             )
-            _fail(batch.pending, self._failure)
+            _log_values.fail(batch.pending, self._failure)
         except _errors.StoreUnavailableError as error:
-            _fail(
+            _log_values.fail(
                 batch.pending,
                 _errors.LogUnavailableError(f"{self.name}: {error}"),
             )
         except _errors.StoreError as error:
-            _fail(batch.pending, _errors.StoreUnknownError(str(error)))
+            _log_values.fail(
+                batch.pending, _errors.StoreUnknownError(str(error))
+            )
             self._unresolved = batch
         else:
             self._next_slot = slot + 1
-            _succeed(batch.pending, slot)
+            _log_values.succeed(batch.pending, slot)
+
+    async def _create(self, slot: int, batch: _log_values.Batch) -> None:
+        """Creates a slot; a ConflictError also if it had been deleted."""
+        sent_at = self._instant()
+        key = self._slot_key(slot)
+        await self._stamped.put(key, batch.body, expected=0, stamp=batch.stamp)
+        if self._passed_s(self._written_at) >= _TRUSTED_S:
+            await self._require_no_snapshot_above(slot)
+        self._written_at = sent_at
+
+    async def _require_no_snapshot_above(self, slot: int) -> None:
+        try:
+            head = await self._read_head()
+        except _errors.StoreUnavailableError as error:
+            # The slot was created; whether it counts is not known.
+            raise _errors.StoreUnknownError(str(error)) from error
+        if head.snapshot_slot > slot:
+            raise _errors.ConflictError(
+                key=self._slot_key(slot), expected=0, actual=0
+            )
+
+    def _instant(self) -> tuple[float, float]:
+        # The monotonic clock may stand still while the machine is suspended.
+        return self.clock.now(), self.clock.time()
+
+    def _passed_s(self, since: tuple[float, float]) -> float:
+        now = self._instant()
+        return max(now[0] - since[0], now[1] - since[1])
 
     async def _resolve(self) -> bool:
         """Finishes a batch of unknown outcome; tells whether that is done."""
@@ -247,12 +277,10 @@
             self._unresolved = batch
         return resolved
 
-    async def _put_again(self, batch: _Batch) -> bool:
+    async def _put_again(self, batch: _log_values.Batch) -> bool:
         slot = self._next_slot
         try:
-            await self._stamped.put(
-                self._slot_key(slot), batch.body, expected=0, stamp=batch.stamp
-            )
+            await self._create(slot, batch)
         except _errors.ConflictError:
             self._failure = _errors.LogFencedError(self.name)
             return True
@@ -262,12 +290,12 @@
         self._next_slot = slot + 1
         return True
 
-    def _take_batch(self) -> list[_Pending]:
-        taken: list[_Pending] = []
+    def _take_batch(self) -> list[_log_values.Pending]:
+        taken: list[_log_values.Pending] = []
         size = 0
         for pending in self._queue:
             size += len(pending.record) + 8
-            if taken and size > _BATCH_BYTES:
+            if taken and size > _log_values.BATCH_BYTES:
                 break
             taken.append(pending)
         del self._queue[: len(taken)]
@@ -275,19 +303,22 @@
 
     def _fail_queue(self, error: _errors.StoreError) -> None:
         queue, self._queue = self._queue, []
-        _fail(queue, error)
+        _log_values.fail(queue, error)
 
-    async def _read_head(self) -> _Head:
+    async def _read_head(self) -> _log_values.Head:
         entry = await self.store.get(self._head_key())
         if entry is None:
-            return _Head(snapshot_slot=0, chunks=0, revision=0)
-        (slot, chunks), _ = _stamped.unpack(entry.value)
-        return _Head(snapshot_slot=slot, chunks=chunks, revision=entry.revision)
+            return _log_values.Head(snapshot_slot=0, chunk_keys=(), revision=0)
+        (slot, chunks, directory), _ = _stamped.unpack(entry.value)
+        return _log_values.Head(
+            snapshot_slot=slot,
+            chunk_keys=tuple(self._chunk_keys(directory, chunks)),
+            revision=entry.revision,
+        )
 
-    async def _read_snapshot(self, head: _Head) -> list[bytes]:
+    async def _read_snapshot(self, head: _log_values.Head) -> list[bytes]:
         records: list[bytes] = []
-        for index in range(head.chunks):
-            key = self._chunk_key(head.snapshot_slot, index)
+        for key in head.chunk_keys:
             entry = await self.store.get(key)
             if entry is None:
                 raise _errors.StoreError(f"{key}: snapshot chunk is missing")
@@ -299,7 +330,7 @@
         if first:
             return await self._read_slots_one_by_one(first)
         entries, _ = await self.store.list_prefix(self._slot_prefix())
-        return _contiguous(entries, first, self._slot_key)
+        return _log_values.contiguous(entries, first, self._slot_key)
 
     async def _read_slots_one_by_one(self, first: int) -> list[Entry]:
         found: list[Entry] = []
@@ -315,21 +346,22 @@
             raise _errors.LogFencedError(
                 f"{self.name}: epoch {epoch} is above {self.epoch}"
             )
-        return records if BatchKind(kind) is BatchKind.RECORDS else []
-
-    def _retire(self, head: _Head, slot: int) -> None:
-        keys = [self._slot_key(n) for n in range(head.snapshot_slot, slot)]
-        keys += [
-            self._chunk_key(head.snapshot_slot, n) for n in range(head.chunks)
-        ]
-        self._retired.append((self.clock.now() + SLOT_RETENTION_S, keys))
+        return (
+            records
+            if _log_values.BatchKind(kind) is _log_values.BatchKind.RECORDS
+            else []
+        )
 
-    async def _delete_retired(self) -> None:
-        now = self.clock.now()
-        while self._retired and self._retired[0][0] <= now:
-            for key in self._retired[0][1]:
-                await self.store.delete(key)
-            self._retired.pop(0)
+    def _retire(
+        self, head: _log_values.Head, slot: int, current: list[str]
+    ) -> None:
+        """Retires what a new snapshot replaces, failed attempts included."""
+        keys = [self._slot_key(n) for n in range(self._kept_slot, slot)]
+        chunks = set(head.chunk_keys).union(self._attempted)
+        keys += sorted(chunks.difference(current))
+        self._kept_slot = slot
+        self._attempted = list(current)
+        self._janitor.retire(keys)
 
     def _head_key(self) -> str:
         return f"logs/{self.name}/head"
@@ -340,42 +372,9 @@
     def _slot_key(self, slot: int) -> str:
         return f"{self._slot_prefix()}{slot:012d}"
 
-    def _chunk_key(self, slot: int, index: int) -> str:
-        return f"logs/{self.name}/snapshot/{slot:012d}/{index:04d}"
+    def _chunk_prefix(self) -> str:
+        return f"logs/{self.name}/snapshot/"
 
-
-def _contiguous(entries: list[Entry], first: int, key_of: Any) -> list[Entry]:
-    by_key = {e.key: e for e in entries}
-    found = []
-    for slot in itertools.count(first):
-        entry = by_key.get(key_of(slot))
-        if entry is None:
-            return found
-        found.append(entry)
-    return found
-
-
-def _split_chunks(records: list[bytes]) -> list[list[bytes]]:
-    chunks: list[list[bytes]] = []
-    size = _BATCH_BYTES
-    for record in records:
-        if size + len(record) + 8 > _BATCH_BYTES:
-            chunks.append([])
-            size = 0
-        chunks[-1].append(record)
-        size += len(record) + 8
-    return chunks
-
-
-def _succeed(pending: list[_Pending], slot: int) -> None:
-    for item in pending:
-        if not item.done.done():
-            item.done.set_result(slot)
-
-
-def _fail(pending: list[_Pending], error: _errors.StoreError) -> None:
-    for item in pending:
-        if not item.done.done():
-            item.done.set_exception(error)
-            # A caller that was cancelled never retrieves the exception.
-            item.done.exception()
+    def _chunk_keys(self, directory: str, count: int) -> list[str]:
+        prefix = f"{self._chunk_prefix()}{directory}/"
+        return [f"{prefix}{index:04d}" for index in range(count)]
--- a/magnoliaglade/store/tests/test_store.py
+++ b/magnoliaglade/store/tests/test_store.py
@@ -123,10 +123,115 @@
         successor = make_log(store, clock, writer="b", epoch=2)
         assert await successor.open() == [b"state", b"after"]
         await clock.advance(1000)
-        await log._delete_retired()
+        await log._janitor.delete_due()
         third = make_log(store, clock, writer="c", epoch=3)
         assert await third.open() == [b"state", b"after"]
 
+    async def make_compacted(self, clock, store, memory):
+        """Returns a log at slot 3 and a successor that compacted it."""
+        old = make_log(store, clock)
+        await old.open()
+        await old.append(b"1")
+        await old.append(b"2")
+        new = make_log(memory, clock, writer="b", epoch=2)
+        records = await new.open()
+        await new.append(b"3")
+        await new.append(b"4")
+        await new.compact([*records, b"3", b"4"])
+        return old, new
+
+    async def test_leftovers_of_a_failed_owner_are_deleted(self):
+        """Guards against slots and chunks that nobody deletes."""
+        clock, memory, store = make_store()
+        old, failed = await self.make_compacted(clock, store, memory)
+        # An attempt that ends before the head refers to it.
+        await memory.put("logs/claims.0/snapshot/000000000006-2-9/0000", b"x")
+        await failed.append(b"5")
+        successor = make_log(store, clock, writer="c", epoch=3)
+        state = await successor.open()
+        assert state == [b"1", b"2", b"3", b"4", b"5"]
+        await successor.compact(state)
+        await clock.advance(300)
+        await successor.append(b"6")
+        await successor.compact([*state, b"6"])
+        kept = {f"logs/claims.0/slot/{n:012d}" for n in range(6)}
+        assert kept <= set(memory._entries)
+        await clock.advance(700)
+        await successor.append(b"7")
+        await successor.compact([*state, b"6", b"7"])
+        await clock.advance(700)
+        await successor.compact([*state, b"6", b"7"])
+        await clock.advance(1)
+        keys = [k for k in memory._entries if k.startswith("logs/")]
+        # The head, the snapshot and the one before it.
+        assert len(keys) == 3
+        last = make_log(memory, clock, writer="d", epoch=4)
+        assert await last.open() == [*state, b"6", b"7"]
+
+    async def test_second_compaction_leaves_the_snapshot_alone(self):
+        """Guards against a snapshot damaged by an interrupted repetition."""
+        clock, memory, store = make_store()
+        log = make_log(store, clock)
+        await log.open()
+        await log.append(b"x")
+        await log.compact([b"a", b"b"])
+        put = store.put
+
+        async def interrupted_put(key, value, **options):
+            if key.endswith("head"):
+                raise store_lib.StoreUnavailableError("store is down")
+            return await put(key, value, **options)
+
+        store.put = interrupted_put
+        with pytest.raises(store_lib.StoreUnavailableError):
+            await log.compact([b"c"])
+        successor = make_log(memory, clock, writer="b", epoch=2)
+        assert await successor.open() == [b"a", b"b"]
+
+    @pytest.mark.parametrize("is_suspended", [False, True])
+    async def test_writer_that_returns_after_its_slots_were_deleted(
+        self, is_suspended
+    ):
+        """Guards against a success in a slot that was free once more.
+
+        The monotonic clock of a machine that was suspended has stood still.
+        """
+        clock, memory, store = make_store()
+        old, new = await self.make_compacted(clock, store, memory)
+        await clock.advance(700)
+        await new._janitor.delete_due()
+        assert await memory.get("logs/claims.0/slot/000000000003") is None
+        if is_suspended:
+            before_s = clock.now() - 700
+            clock.now = lambda: before_s
+        with pytest.raises(store_lib.LogFencedError):
+            await old.append(b"late")
+        with pytest.raises(store_lib.LogFencedError):
+            await old.append(b"later")
+        third = make_log(memory, clock, writer="c", epoch=3)
+        assert await third.open() == [b"1", b"2", b"3", b"4"]
+
+    async def test_open_that_is_paused_until_slots_are_deleted(self):
+        """Guards against a successor that misses the newest records."""
+        clock, memory, store = make_store()
+        get, paused = store.get, []
+
+        async def paused_get(key):
+            entry = await get(key)
+            if key.endswith("head") and not paused:
+                paused.append(key)
+                _, new = await self.make_compacted(clock, memory, memory)
+                await clock.advance(700)
+                await new._janitor.delete_due()
+            return entry
+
+        store.get = paused_get
+        late = make_log(store, clock, writer="c", epoch=3)
+        assert await late.open() == [b"1", b"2", b"3", b"4"]
+        await late.append(b"5")
+        last = make_log(memory, clock, writer="d", epoch=4)
+        assert await last.open() == [b"1", b"2", b"3", b"4", b"5"]
+
 
 class TestInstanceLease:
     async def test_lapses_before_the_store_gives_it_away(self):
