--- a/magnoliaglade/requests/_claim_partition.py
+++ b/magnoliaglade/requests/_claim_partition.py
@@ -21,6 +21,13 @@
 # A large table is written less often: one more slot per this many claims, so
 # that snapshots stay a small share of the writes.
 _CLAIMS_PER_SLOT = 100
+# A claim takes 530 bytes, 763 with an answer of 200 bytes and 4,659 with the
+# largest one that is kept, so a full partition of small answers takes 31 MB.
+MAX_CLAIMS = 40_000
+# At 8 microseconds each, the event loop is held up for 2 ms at a time.
+_SNAPSHOT_SLICE = 250
+# Claims that one tick forgets; two ticks a second keep up with 2,000 a second.
+_EXPIRED_PER_TICK = 1_000
 
 
 class ClaimPartition:
@@ -37,11 +44,13 @@
         owned: store_lib.Owned,
         log: store_lib.SingleWriterLog,
         compact_slots: int = COMPACT_SLOTS,
+        max_claims: int = MAX_CLAIMS,
     ) -> None:
         self.clock = clock
         self.owned = owned
         self.log = log
         self.compact_slots = compact_slots
+        self.max_claims = max_claims
         self.counters: collections.Counter[str] = collections.Counter()
         self._table = table_lib.ClaimTable()
         self._changed: dict[bytes, asyncio.Event] = {}
@@ -94,6 +103,11 @@
             if self._table.find(request.key_digest) is None:
                 if has_begun:
                     return _unavailable("store is out", is_first=self.may_act)
+                if len(self._table) >= self.max_claims:
+                    self.counters["refused_full"] += 1
+                    return _unavailable(
+                        "partition holds too many claims", is_first=self.may_act
+                    )
                 has_begun = True
                 self._begin(holder, request)
             if not await self._wait_for_change(request.key_digest, end_s):
@@ -112,8 +126,14 @@
             *(self.finish(_unknown_outcome(claim)) for claim in claims)
         )
 
+    def expire(self) -> None:
+        """Drops some of the expired claims; call it regularly."""
+        now_s = self.clock.time()
+        expired = self._table.expire(now_s, limit=_EXPIRED_PER_TICK)
+        self.counters["expired"] += expired
+
     async def compact_if_due(self) -> None:
-        """Drops expired claims and replaces a long log by a snapshot."""
+        """Replaces a long log by a snapshot."""
         due = max(self.compact_slots, len(self._table) // _CLAIMS_PER_SLOT)
         slots = self.log.next_slot - self._snapshot_slot
         if slots < due or not self.may_act:
@@ -122,8 +142,9 @@
         try:
             await self._wait_for_appends()
             self.owned.check()
-            self._table.expire(self.clock.time())
-            await self.log.compact(self._table.snapshot())
+            records = await self._encode()
+            self.owned.check()
+            await self.log.compact(records)
             self._snapshot_slot = self.log.next_slot
             self.counters["compactions"] += 1
         except store_lib.StoreError:
@@ -239,6 +260,15 @@
             self._appending -= 1
             self._idle.set()
 
+    async def _encode(self) -> list[bytes]:
+        """Encodes the table and lets other work run in between."""
+        records = []
+        for record in self._table.snapshot():
+            records.append(record)
+            if len(records) % _SNAPSHOT_SLICE == 0:
+                await asyncio.sleep(0)
+        return records
+
     async def _wait_for_appends(self) -> None:
         while self._appending:
             self._idle.clear()
--- a/magnoliaglade/requests/_claim_table.py
+++ b/magnoliaglade/requests/_claim_table.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import itertools
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import msgpack
@@ -129,19 +131,34 @@
         claim.answer = outcome.answer
         return claim
 
-    def expire(self, now_s: float) -> None:
-        """Forgets claims and released attempts past their retention."""
-        self._claims = {
-            k: c
-            for k, c in self._claims.items()
-            if c.claimed_at_s + CLAIM_RETENTION_S > now_s
-        }
-        self._open = {k: c for k, c in self._open.items() if k in self._claims}
-        self._released = {
-            r: at_s
-            for r, at_s in self._released.items()
-            if at_s + RELEASED_KEPT_S > now_s
-        }
+    def expire(self, now_s: float, *, limit: int | None = None) -> int:
+        """Forgets the oldest entries past their retention.
+
+        Entries are in the order in which they were added. One that was added
+        early under a clock that was ahead delays those behind it, by no more
+        than the clocks differ.
+
+        Args:
+            now_s: wall time.
+            limit: largest number of claims and of released attempts to forget.
+
+        Returns:
+            The number of claims that were forgotten.
+        """
+        claims = _leading(
+            self._claims,
+            lambda c: c.claimed_at_s + CLAIM_RETENTION_S <= now_s,
+            limit,
+        )
+        for key in claims:
+            del self._claims[key]
+            self._open.pop(key, None)
+        released = _leading(
+            self._released, lambda at_s: at_s + RELEASED_KEPT_S <= now_s, limit
+        )
+        for request_id in released:
+            del self._released[request_id]
+        return len(claims)
 
     def apply(self, record: bytes) -> None:
         """Applies one record of the log."""
@@ -155,29 +172,28 @@
             at_s=at_s,
         )
 
-    def snapshot(self) -> list[bytes]:
-        """Returns records that reproduce what may be in the log.
+    def snapshot(self) -> Iterator[bytes]:
+        """Yields records that reproduce what may be in the log.
 
         A claim that is still being stored is left out: its write may yet be
-        refused, and the claim is then dropped.
+        refused, and the claim is then dropped. Between two records claims may
+        be added, but nothing else may change.
         """
-        records = []
-        for claim in self._claims.values():
+        for claim in list(self._claims.values()):
             is_new = claim.state is ClaimState.CLAIMED
             if is_new and not claim.is_in_doubt:
                 continue
-            records.append(encode_claim(claim))
+            yield encode_claim(claim)
             if claim.result is not None:
-                records.append(_encode_result(claim))
-        for request_id, at_s in self._released.items():
+                yield _encode_result(claim)
+        for request_id, at_s in list(self._released.items()):
             released = messages.ClaimOutcome(
                 partition=0,
                 key_digest=b"",
                 request_id=request_id,
                 outcome=messages.ClaimResult.NOT_RUN.value,
             )
-            records.append(encode_outcome(released, at_s=at_s))
-        return records
+            yield encode_outcome(released, at_s=at_s)
 
     def _apply_claim(self, claim: Claim) -> None:
         # A claim whose first write was in doubt may be in the log twice.
@@ -222,5 +238,16 @@
     )
 
 
+def _leading(
+    entries: dict[Any, Any],
+    is_expired: Callable[[Any], bool],
+    limit: int | None,
+) -> list[Any]:
+    """Returns the keys of the expired entries at the start."""
+    first = itertools.islice(entries.items(), limit)
+    expired = itertools.takewhile(lambda item: is_expired(item[1]), first)
+    return [key for key, _ in expired]
+
+
 def _pack(kind: str, fields: dict[str, Any]) -> bytes:
     return msgpack.packb([kind, fields])
--- a/magnoliaglade/requests/_claims.py
+++ b/magnoliaglade/requests/_claims.py
@@ -22,6 +22,10 @@
 # A holder counts as failed when it has been absent from the view this long,
 # so that a view that lags does not fail an instance that has just joined.
 HOLDER_ABSENT_S = 5.0
+# Pauses between attempts to open a log that cannot be read. Each attempt
+# raises the epoch of the partition by a store write.
+OPEN_RETRY_S = 0.5
+OPEN_RETRY_MAX_S = 30.0
 
 
 class ClaimService(base.Component):
@@ -30,6 +34,7 @@
     _parameter_constraints = {
         "flush_s": [base.Interval(kind=float, low=0)],
         "compact_slots": [base.Interval(kind=int, low=1)],
+        "max_claims": [base.Interval(kind=int, low=1)],
     }
 
     def __init__(
@@ -42,6 +47,7 @@
         views: requests_base.ViewSource,
         flush_s: float = CLAIM_FLUSH_S,
         compact_slots: int = partition_lib.COMPACT_SLOTS,
+        max_claims: int = partition_lib.MAX_CLAIMS,
     ) -> None:
         self.clock = clock
         self.store = store
@@ -50,9 +56,12 @@
         self.views = views
         self.flush_s = flush_s
         self.compact_slots = compact_slots
+        self.max_claims = max_claims
         self._partitions: dict[int, partition_lib.ClaimPartition] = {}
         self._owners: dict[int, InstanceId] = {}
         self._unowned_since: dict[int, float] = {}
+        # Pause and time of the next attempt, by partition.
+        self._backoff: dict[int, tuple[float, float]] = {}
         self._absent_since: dict[tuple[InstanceId, str], float] = {}
         self._task: asyncio.Task[None] | None = None
         self.counters: collections.Counter[str] = collections.Counter()
@@ -98,6 +107,7 @@
         self._forget_holders()
         for partition in list(self._active().values()):
             await partition.mark_unknown(self._orphans(partition.table))
+            partition.expire()
             await partition.compact_if_due()
 
     async def _tick_forever(self) -> None:
@@ -151,7 +161,9 @@
                 self._unowned_since.pop(number, None)
                 continue
             since_s = self._unowned_since.setdefault(number, now)
-            if now - since_s >= self._rank(number) * CLAIM_TICK_S:
+            _, retry_s = self._backoff.get(number, (0.0, now))
+            is_turn = now - since_s >= self._rank(number) * CLAIM_TICK_S
+            if is_turn and now >= retry_s:
                 due.append(number)
         return due
 
@@ -173,16 +185,23 @@
         partition = self._make_partition(owned)
         try:
             await partition.open()
-        except store_lib.StoreError:
-            # The key stays under this instance's lease, so the next tick
+        except Exception:
+            # The key stays under this instance's lease, so a later tick
             # acquires the partition again under a higher epoch.
-            return
+            self._back_off(number)
+            raise
+        self._backoff.pop(number, None)
         previous = self._partitions.pop(number, None)
         self._partitions[number] = partition
         self._owners[number] = self.network.instance
         if previous is not None:
             await previous.close()
 
+    def _back_off(self, number: int) -> None:
+        pause_s, _ = self._backoff.get(number, (OPEN_RETRY_S / 2, 0.0))
+        pause_s = min(2 * pause_s, OPEN_RETRY_MAX_S)
+        self._backoff[number] = (pause_s, self.clock.now() + pause_s)
+
     def _make_partition(
         self, owned: store_lib.Owned
     ) -> partition_lib.ClaimPartition:
@@ -199,6 +218,7 @@
             owned=owned,
             log=log,
             compact_slots=self.compact_slots,
+            max_claims=self.max_claims,
         )
 
     def _orphans(self, table: table_lib.ClaimTable) -> list[table_lib.Claim]:
--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -1,6 +1,7 @@
 """Tests of claims under store, owner and peer failures."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -228,6 +229,23 @@
         _, granted = await cluster.claim("a", other, "r2")
         assert granted.status is Status.GRANTED
 
+    async def test_unreadable_log_is_retried_less_and_less(self, cluster):
+        """Guards against an epoch raised by each of two ticks a second."""
+        key = cluster.key_owned_by("c")
+        partition = cluster.partition("c", key)
+        await partition.log.append(b"not a record")
+        epoch_key = f"epochs/{partition.owned.domain}"
+        cluster.crashes.crash("c")
+        await cluster.clock.advance(10)
+        first = (await cluster.memory.get(epoch_key)).revision
+        raised = []
+        for _ in range(300):
+            await cluster.clock.advance(1)
+            revision = (await cluster.memory.get(epoch_key)).revision
+            if revision != first:
+                raised.append(first := revision)
+        assert 5 <= len(raised) <= 15
+
 
 class TestCompaction:
     async def test_successor_reads_snapshot(self):
@@ -297,6 +315,54 @@
         table.expire(cluster.clock.time() + 86_500)
         assert len(table) == 0
 
+    async def test_expired_claims_go_without_a_compaction(self, cluster):
+        """Guards against memory that only a compaction gives back."""
+        key = cluster.key_owned_by("c")
+        await cluster.claim("a", key, "r1")
+        partition = cluster.partition("c", key)
+        (claim,) = partition.table.open_claims()
+        claim.claimed_at_s -= 86_500
+        await cluster.clock.advance(1)
+        assert len(partition.table) == 0
+        assert partition.counters["compactions"] == 0
+
+    async def test_full_partition_refuses_new_keys_only(self):
+        """Guards against a table without bound and a false `not run`."""
+        cluster = claim_cluster.Cluster(max_claims=1)
+        await cluster.start()
+        key = cluster.key_owned_by("c")
+        spec, _ = await cluster.claim("a", key, "r1")
+        cluster.nodes["a"].client.report(spec, Result.RAN, ANSWER)
+        partition = cluster.partition("c", key)
+        digests = (
+            (k, requests.partition_of(requests.digest_key("acme", k)))
+            for k in (f"other-{n}" for n in range(100))
+        )
+        number = requests.partition_of(requests.digest_key("acme", key))
+        other = next(k for k, n in digests if n == number)
+        _, refused = await cluster.claim("b", other, "r2", timeout_s=2)
+        assert refused.status is Status.UNAVAILABLE
+        assert refused.covers_key
+        assert partition.table.find(requests.digest_key("acme", other)) is None
+        _, known = await cluster.claim("b", key, "r3")
+        assert known.response == ANSWER
+
+    async def test_other_work_runs_while_a_snapshot_is_encoded(self, cluster):
+        """Guards against a large table that holds up every request."""
+        partition = cluster.partition("c", cluster.key_owned_by("c"))
+        await cluster.claim("a", cluster.key_owned_by("c"), "r1")
+        (claim,) = partition.table.open_claims()
+        for n in range(1000):
+            other = dataclasses.replace(claim, key_digest=b"%d" % n)
+            partition.table.add(other)
+        turns = 0
+        encoding = asyncio.create_task(partition._encode())
+        while not encoding.done():
+            await asyncio.sleep(0)
+            turns += 1
+        assert len(encoding.result()) == 1001
+        assert turns >= 4
+
     async def test_release_holds_against_a_repeated_claim_record(self, cluster):
         """Guards against a record that is repeated after its release."""
         key = cluster.key_owned_by("c")
