Tell callers why a request was not run

Cause: NotRun carried only a text, so the HTTP interface answered 503 for a wrong key as well as for a full queue.

Change: NotRunCause is set wherever an attempt is refused, travels with RefusedError, ClaimDecision and ClaimReply, and maps to 401, 400, 413, 409, 429 and 503; the body names it. A partition with too many claims counts as overloaded. A deadline that cannot be met is 503, because a later deadline may succeed without fewer requests.

Conclusion: callers can tell what must not be repeated from what may be.

--- a/magnoliaglade/daemon/_caller_api.py
+++ b/magnoliaglade/daemon/_caller_api.py
@@ -30,6 +30,17 @@
     }
 )
 
+_STATUS = {
+    requests.NotRunCause.UNAUTHENTICATED: 401,
+    requests.NotRunCause.INVALID: 400,
+    requests.NotRunCause.TOO_LARGE: 413,
+    requests.NotRunCause.KEY_CONFLICT: 409,
+    requests.NotRunCause.OVERLOADED: 429,
+    requests.NotRunCause.DEADLINE: 503,
+    requests.NotRunCause.UNAVAILABLE: 503,
+    requests.NotRunCause.STOPPING: 503,
+}
+
 
 class CallerApi:
     """Serves requests and jobs."""
@@ -179,9 +190,11 @@
     fields = {
         "outcome": "not run",
         "reason": outcome.reason,
+        "cause": outcome.cause.value,
         "covers_key": outcome.covers_key,
     }
-    return _with_outcome(503, fields, b"not-run", outcome.request_id)
+    status = _STATUS[outcome.cause]
+    return _with_outcome(status, fields, b"not-run", outcome.request_id)
 
 
 @_answer.register
--- a/magnoliaglade/requests/__init__.py
+++ b/magnoliaglade/requests/__init__.py
@@ -3,6 +3,7 @@
 from magnoliaglade.requests._admission import BudgetedRetries, SlotAdmission
 from magnoliaglade.requests._answers import AnswerMatcher
 from magnoliaglade.requests._auth import authenticate
+from magnoliaglade.requests._causes import NotRunCause
 from magnoliaglade.requests._claim_messages import (
     CLAIM_PARTITIONS,
     ClaimAck,
@@ -85,6 +86,7 @@
     "Gateway",
     "GatewayState",
     "NotRun",
+    "NotRunCause",
     "NotSentError",
     "Outcome",
     "OutcomeUnknownError",
--- a/magnoliaglade/requests/_claim_messages.py
+++ b/magnoliaglade/requests/_claim_messages.py
@@ -67,6 +67,7 @@
             other attempt holds the key.
         is_stored: with state unavailable, whether the claim may be in the log.
         reason: with state unavailable, what the owner lacks.
+        is_full: with state unavailable, whether it holds too many claims.
     """
 
     state: str
@@ -75,6 +76,7 @@
     is_first: bool = False
     is_stored: bool = False
     reason: str = ""
+    is_full: bool = False
 
 
 @peers.message
--- a/magnoliaglade/requests/_claim_partition.py
+++ b/magnoliaglade/requests/_claim_partition.py
@@ -106,7 +106,9 @@
                 if len(self._table) >= self.max_claims:
                     self.counters["refused_full"] += 1
                     return _unavailable(
-                        "partition holds too many claims", is_first=self.may_act
+                        "partition holds too many claims",
+                        is_first=self.may_act,
+                        is_full=True,
                     )
                 has_begun = True
                 self._begin(holder, request)
@@ -317,13 +319,18 @@
 
 
 def _unavailable(
-    reason: str, *, is_first: bool = False, is_stored: bool = False
+    reason: str,
+    *,
+    is_first: bool = False,
+    is_stored: bool = False,
+    is_full: bool = False,
 ) -> messages.ClaimReply:
     return messages.ClaimReply(
         state=messages.ReplyState.UNAVAILABLE.value,
         reason=reason,
         is_first=is_first,
         is_stored=is_stored,
+        is_full=is_full,
     )
 
 
--- a/magnoliaglade/requests/_claims_client.py
+++ b/magnoliaglade/requests/_claims_client.py
@@ -9,8 +9,8 @@
 
 from magnoliaglade import base, peers
 from magnoliaglade import clock as clock_lib
+from magnoliaglade.requests import _causes, _claims
 from magnoliaglade.requests import _claim_messages as messages
-from magnoliaglade.requests import _claims
 from magnoliaglade.requests import base as requests_base
 from magnoliaglade.types import AccountId, IdempotencyKey, RequestId
 
@@ -70,6 +70,7 @@
         covers_key: with UNAVAILABLE, whether the owner confirmed that no
             other attempt holds the key.
         reason: with UNAVAILABLE, what was lacking.
+        cause: with UNAVAILABLE, the kind of reason.
     """
 
     status: ClaimStatus
@@ -77,6 +78,7 @@
     response: requests_base.UpstreamResponse | None = None
     covers_key: bool = False
     reason: str = ""
+    cause: _causes.NotRunCause = _causes.NotRunCause.UNAVAILABLE
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -290,6 +292,7 @@
             status=ClaimStatus.UNAVAILABLE,
             covers_key=True,
             reason="claim was granted after the deadline",
+            cause=_causes.NotRunCause.DEADLINE,
         )
     if reply is not None and reply.is_first and not progress.saw_other:
         return _unavailable(reply)
@@ -303,10 +306,12 @@
         return ClaimDecision(
             status=ClaimStatus.UNAVAILABLE, reason="no claim owner is reachable"
         )
+    causes = _causes.NotRunCause
     return ClaimDecision(
         status=ClaimStatus.UNAVAILABLE,
         covers_key=reply.is_first,
         reason=reply.reason,
+        cause=causes.OVERLOADED if reply.is_full else causes.UNAVAILABLE,
     )
 
 
--- a/magnoliaglade/requests/_gateway.py
+++ b/magnoliaglade/requests/_gateway.py
@@ -11,6 +11,7 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.requests import (
     _answers,
+    _causes,
     _claim_messages,
     _claims_client,
     _errors,
@@ -24,6 +25,8 @@
 # `unknown`; the gateway intervenes only this much later.
 _DISPATCH_GRACE_S = 0.1
 
+_Cause = _causes.NotRunCause
+
 
 class GatewayState(enum.Enum):
     """Whether the gateway accepts requests."""
@@ -138,7 +141,9 @@
             flight = self._accept(request_id, request)
         except _errors.RequestError as error:
             self.counters["refused"] += 1
-            return _outcome.NotRun(request_id=request_id, reason=str(error))
+            return _outcome.NotRun(
+                request_id=request_id, reason=str(error), cause=error.cause
+            )
         answer = self._answers.expect(request_id)
         self._flights[request_id] = flight
         flight.task = asyncio.create_task(self._process(flight))
@@ -153,10 +158,16 @@
     ) -> _Flight:
         """Screens a request; raises RequestError if it is refused."""
         if self._state is not GatewayState.RUNNING:
-            raise _errors.RefusedError(f"gateway is {self._state.value}")
+            is_new = self._state is GatewayState.NEW
+            raise _errors.RefusedError(
+                f"gateway is {self._state.value}",
+                cause=_Cause.UNAVAILABLE if is_new else _Cause.STOPPING,
+            )
         screened = _screening.screen(self.configurations.configuration, request)
         if len(self._flights) >= self.max_in_progress:
-            raise _errors.RefusedError("too many requests in progress")
+            raise _errors.RefusedError(
+                "too many requests in progress", cause=_Cause.OVERLOADED
+            )
         upstream_request = requests_base.UpstreamRequest(
             request_id=request_id,
             account=screened.account,
@@ -190,7 +201,12 @@
         self, flight: _Flight, outcome: _outcome.Outcome | None
     ) -> None:
         if outcome is None:
-            outcome = _interrupted(flight, "request was interrupted")
+            is_running = self._state is GatewayState.RUNNING
+            outcome = _interrupted(
+                flight,
+                "request was interrupted",
+                _Cause.UNAVAILABLE if is_running else _Cause.STOPPING,
+            )
         if self._answers.answer(flight.request.request_id, outcome):
             self.counters[type(outcome).__name__] += 1
 
@@ -208,7 +224,7 @@
                     return await self._dispatch(flight)
                 return await self._claim(flight, flight.spec)
         except _errors.RefusedError as error:
-            return _interrupted(flight, str(error))
+            return _interrupted(flight, str(error), error.cause)
 
     async def _claim(
         self, flight: _Flight, spec: _claims_client.ClaimSpec
@@ -240,7 +256,11 @@
                 return outcome
             delay_s = self.retries.next_delay_s(attempt, deadline_s=deadline_s)
             if delay_s is None or self.clock.now() + delay_s >= deadline_s:
-                return _interrupted(flight, outcome.reason)
+                return _interrupted(
+                    flight,
+                    outcome.reason,
+                    getattr(outcome, "cause", _Cause.UNAVAILABLE),
+                )
             await self.clock.sleep(delay_s)
         raise AssertionError("unreachable")
 
@@ -249,7 +269,9 @@
         remaining_s = request.deadline_s - self.clock.now()
         # A caller that was answered or has gone must not cause a run.
         if remaining_s <= 0 or not self._answers.is_waiting(request.request_id):
-            return _interrupted(flight, "deadline or caller has gone")
+            return _interrupted(
+                flight, "deadline or caller has gone", _Cause.DEADLINE
+            )
         flight.is_sending = True
         try:
             response = await self.clock.wait_for(
@@ -259,7 +281,9 @@
             self._answers.check(request, response)
         except _errors.NotSentError as error:
             flight.is_sending = False
-            return _interrupted(flight, str(error))
+            is_late = self.clock.now() >= request.deadline_s
+            cause = _Cause.DEADLINE if is_late else error.cause
+            return _interrupted(flight, str(error), cause)
         except (_errors.OutcomeUnknownError, TimeoutError) as error:
             flight.is_sending = False
             flight.may_have_run = True
@@ -298,14 +322,19 @@
 
 
 def _interrupted(
-    flight: _Flight, reason: str
+    flight: _Flight,
+    reason: str,
+    cause: _causes.NotRunCause = _causes.NotRunCause.UNAVAILABLE,
 ) -> _outcome.NotRun | _outcome.Unknown:
     """Returns what is true of a request that goes no further."""
     request_id = flight.request.request_id
     if flight.is_sending or flight.may_have_run:
         return _outcome.Unknown(request_id=request_id, reason=reason)
     return _outcome.NotRun(
-        request_id=request_id, reason=reason, covers_key=flight.has_claim
+        request_id=request_id,
+        reason=reason,
+        cause=cause,
+        covers_key=flight.has_claim,
     )
 
 
@@ -318,11 +347,14 @@
         return _outcome.NotRun(
             request_id=request_id,
             reason=decision.reason,
+            cause=decision.cause,
             covers_key=decision.covers_key,
         )
     if status is _claims_client.ClaimStatus.CONFLICT:
         return _outcome.NotRun(
-            request_id=request_id, reason="key was used with another body"
+            request_id=request_id,
+            reason="key was used with another body",
+            cause=_Cause.KEY_CONFLICT,
         )
     if decision.result is _claim_messages.ClaimResult.RAN:
         return _outcome.Ran(request_id=request_id, response=decision.response)
--- a/magnoliaglade/requests/_limits.py
+++ b/magnoliaglade/requests/_limits.py
@@ -8,7 +8,7 @@
 
 from magnoliaglade import base, configuration
 from magnoliaglade import clock as clock_lib
-from magnoliaglade.requests import _errors
+from magnoliaglade.requests import _causes, _errors
 from magnoliaglade.types import AccountId
 
 MAX_QUEUED = 256
@@ -139,15 +139,21 @@
         """
         account = self._accounts.get(ticket.account)
         if account is None:
-            raise _errors.RefusedError("unknown account")
+            raise _errors.RefusedError(
+                "unknown account", cause=_causes.NotRunCause.UNAVAILABLE
+            )
         if not self._can_meet(account, ticket):
-            raise _errors.RefusedError("deadline cannot be met")
+            raise _errors.RefusedError(
+                "deadline cannot be met", cause=_causes.NotRunCause.DEADLINE
+            )
         bisect.insort(account.queue, ticket, key=lambda t: t.deadline_s)
         if len(account.queue) <= self.max_queued:
             return None
         evicted = account.queue.pop()
         if evicted is ticket:
-            raise _errors.RefusedError("queue is full")
+            raise _errors.RefusedError(
+                "queue is full", cause=_causes.NotRunCause.OVERLOADED
+            )
         return evicted
 
     def take(self) -> tuple[list[Ticket], list[Ticket]]:
@@ -268,7 +274,9 @@
     ) -> None:
         """Sets the accounts; waiting requests of removed ones are refused."""
         for ticket in self.queue.set_accounts(accounts):
-            _refuse(ticket, "account was removed")
+            _refuse(
+                ticket, "account was removed", _causes.NotRunCause.UNAVAILABLE
+            )
         self._admit()
 
     def set_capacity(self, capacity: int) -> None:
@@ -289,7 +297,7 @@
         ticket.done = asyncio.get_running_loop().create_future()
         evicted = self.queue.offer(ticket)
         if evicted is not None:
-            _refuse(evicted, "queue is full")
+            _refuse(evicted, "queue is full", _causes.NotRunCause.OVERLOADED)
         self._admit()
         try:
             await self.clock.wait_for(
@@ -297,7 +305,9 @@
             )
         except TimeoutError as error:
             self._abandon(ticket)
-            raise _errors.RefusedError("deadline passed") from error
+            raise _errors.RefusedError(
+                "deadline passed", cause=_causes.NotRunCause.DEADLINE
+            ) from error
         except BaseException:
             self._abandon(ticket)
             raise
@@ -320,9 +330,11 @@
             if not ticket.done.done():
                 ticket.done.set_result(None)
         for ticket in removed:
-            _refuse(ticket, "deadline cannot be met")
+            _refuse(
+                ticket, "deadline cannot be met", _causes.NotRunCause.DEADLINE
+            )
 
 
-def _refuse(ticket: Ticket, reason: str) -> None:
+def _refuse(ticket: Ticket, reason: str, cause: _causes.NotRunCause) -> None:
     if not ticket.done.done():
-        ticket.done.set_exception(_errors.RefusedError(reason))
+        ticket.done.set_exception(_errors.RefusedError(reason, cause=cause))
--- a/magnoliaglade/requests/_outcome.py
+++ b/magnoliaglade/requests/_outcome.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from magnoliaglade.requests import base
+from magnoliaglade.requests import _causes, base
 from magnoliaglade.types import IdempotencyKey, RequestId
 
 
@@ -49,6 +49,7 @@
     Attributes:
         request_id: id of this attempt.
         reason: why it was refused.
+        cause: the kind of reason.
         covers_key: whether no other attempt of the idempotency key had run
             either. A caller that made an earlier attempt needs this, or must
             repeat the same key; a new key could run the request twice.
@@ -56,6 +57,7 @@
 
     request_id: RequestId
     reason: str
+    cause: _causes.NotRunCause
     covers_key: bool = False
 
 
--- a/magnoliaglade/requests/_screening.py
+++ b/magnoliaglade/requests/_screening.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from magnoliaglade import configuration as configuration_lib
-from magnoliaglade.requests import _auth, _errors, _outcome
+from magnoliaglade.requests import _auth, _causes, _errors, _outcome
 from magnoliaglade.types import AccountId
 
 MAX_HEADERS = 64
@@ -41,9 +41,15 @@
     account = _auth.authenticate(configuration, request.authorization)
     kind = configuration.kind(request.service, request.kind)
     if kind is None:
-        raise _errors.RefusedError("unknown service or kind of request")
+        raise _errors.RefusedError(
+            "unknown service or kind of request",
+            cause=_causes.NotRunCause.INVALID,
+        )
     if len(request.body) > kind.max_body_bytes:
-        raise _errors.RefusedError(f"body exceeds {kind.max_body_bytes} bytes")
+        raise _errors.RefusedError(
+            f"body exceeds {kind.max_body_bytes} bytes",
+            cause=_causes.NotRunCause.TOO_LARGE,
+        )
     _check_headers(request)
     _check_key(request, kind)
     timeout_s = kind.deadline_s
@@ -52,17 +58,24 @@
     # The comparison is also false for NaN.
     if not 0 < timeout_s <= MAX_TIMEOUT_S:
         raise _errors.RefusedError(
-            f"deadline must be within {MAX_TIMEOUT_S:.0f} s"
+            f"deadline must be within {MAX_TIMEOUT_S:.0f} s",
+            cause=_causes.NotRunCause.INVALID,
         )
     return Screened(account=account, kind=kind, timeout_s=timeout_s)
 
 
 def _check_headers(request: _outcome.CallerRequest) -> None:
     if len(request.headers) > MAX_HEADERS:
-        raise _errors.RefusedError(f"more than {MAX_HEADERS} headers")
+        raise _errors.RefusedError(
+            f"more than {MAX_HEADERS} headers",
+            cause=_causes.NotRunCause.TOO_LARGE,
+        )
     size = sum(len(name) + len(value) for name, value in request.headers)
     if size > MAX_HEADERS_BYTES:
-        raise _errors.RefusedError(f"headers exceed {MAX_HEADERS_BYTES} bytes")
+        raise _errors.RefusedError(
+            f"headers exceed {MAX_HEADERS_BYTES} bytes",
+            cause=_causes.NotRunCause.TOO_LARGE,
+        )
 
 
 def _check_key(
@@ -71,8 +84,11 @@
     if kind.idempotent:
         return
     if not request.key:
-        raise _errors.RefusedError("idempotency-key is required")
+        raise _errors.RefusedError(
+            "idempotency-key is required", cause=_causes.NotRunCause.INVALID
+        )
     if len(request.key.encode(errors="replace")) > MAX_KEY_BYTES:
         raise _errors.RefusedError(
-            f"idempotency-key exceeds {MAX_KEY_BYTES} bytes"
+            f"idempotency-key exceeds {MAX_KEY_BYTES} bytes",
+            cause=_causes.NotRunCause.INVALID,
         )
--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -343,6 +343,7 @@
         _, refused = await cluster.claim("b", other, "r2", timeout_s=2)
         assert refused.status is Status.UNAVAILABLE
         assert refused.covers_key
+        assert refused.cause is requests.NotRunCause.OVERLOADED
         assert partition.table.find(requests.digest_key("acme", other)) is None
         _, known = await cluster.claim("b", key, "r3")
         assert known.response == ANSWER
--- a/magnoliaglade/requests/tests/test_gateway.py
+++ b/magnoliaglade/requests/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from magnoliaglade.requests.tests import claim_cluster
 
 UNKNOWN = requests.OutcomeUnknownError("connection broke off")
+Cause = requests.NotRunCause
 NOT_SENT = requests.NotSentError("no upstream")
 
 
@@ -20,6 +21,12 @@
 
 
 class TestOutcomes:
+    async def test_key_with_another_body_is_a_conflict(self, cluster):
+        """Guards against a caller that repeats a key that never matches."""
+        await cluster.wait(cluster.send("a", "k"))
+        outcome = await cluster.wait(cluster.send("b", "k", body=b"other"))
+        assert outcome.cause is Cause.KEY_CONFLICT
+
     async def test_retry_through_another_instance(self, cluster):
         """Guards against a second run while the first attempt runs."""
         cluster.upstream.delay_s = 3.0
@@ -70,6 +77,7 @@
         first = await cluster.wait(cluster.send("a", "k"))
         assert isinstance(first, requests.NotRun)
         assert first.covers_key
+        assert first.cause is Cause.UNAVAILABLE
         second = await cluster.wait(cluster.send("b", "k"))
         assert isinstance(second, requests.Ran)
 
@@ -85,25 +93,42 @@
         assert isinstance(outcome, requests.Unknown)
 
     @pytest.mark.parametrize(
-        ("fields", "reason"),
+        ("fields", "reason", "cause"),
         [
-            ({"authorization": "Bearer acme:wrong"}, "credentials"),
-            ({"authorization": "Bearer nobody:secret"}, "credentials"),
-            ({"authorization": "acme:secret"}, "credentials"),
-            ({"kind": "other"}, "unknown service"),
-            ({"body": b"x" * 1_048_577}, "body exceeds"),
-            ({"headers": (("a", "b"),) * 65}, "more than"),
-            ({"headers": (("a", "b" * 16_384),)}, "headers exceed"),
-            ({"key": None}, "idempotency-key is required"),
-            ({"key": "k" * 257}, "idempotency-key exceeds"),
-            ({"timeout_s": float("nan")}, "deadline"),
+            (
+                {"authorization": "Bearer acme:wrong"},
+                "credentials",
+                Cause.UNAUTHENTICATED,
+            ),
+            (
+                {"authorization": "Bearer nobody:secret"},
+                "credentials",
+                Cause.UNAUTHENTICATED,
+            ),
+            (
+                {"authorization": "acme:secret"},
+                "credentials",
+                Cause.UNAUTHENTICATED,
+            ),
+            ({"kind": "other"}, "unknown service", Cause.INVALID),
+            ({"body": b"x" * 1_048_577}, "body exceeds", Cause.TOO_LARGE),
+            ({"headers": (("a", "b"),) * 65}, "more than", Cause.TOO_LARGE),
+            (
+                {"headers": (("a", "b" * 16_384),)},
+                "headers exceed",
+                Cause.TOO_LARGE,
+            ),
+            ({"key": None}, "idempotency-key is required", Cause.INVALID),
+            ({"key": "k" * 257}, "idempotency-key exceeds", Cause.INVALID),
+            ({"timeout_s": float("nan")}, "deadline", Cause.INVALID),
         ],
     )
-    async def test_refusals(self, cluster, fields, reason):
+    async def test_refusals(self, cluster, fields, reason, cause):
         """Guards against work for a request that must be refused."""
         outcome = await cluster.wait(cluster.send("a", "k", **fields))
         assert isinstance(outcome, requests.NotRun)
         assert reason in outcome.reason
+        assert outcome.cause is cause
         assert not cluster.upstream.runs
 
     async def test_admission_refuses(self, cluster):
@@ -171,6 +196,7 @@
         await cluster.clock.advance(1)
         refused = await cluster.send("a", "k2")
         assert isinstance(refused, requests.NotRun)
+        assert refused.cause is Cause.STOPPING
         assert not stop.done()
         await cluster.clock.advance(2)
         assert isinstance(task.result(), requests.Ran)
@@ -193,7 +219,7 @@
         await gateway.stop(force=True)
         await graceful
         assert isinstance(await sent, requests.Unknown)
-        assert isinstance(await waiting, requests.NotRun)
+        assert (await waiting).cause is Cause.STOPPING
         await cluster.clock.advance(10)
         assert cluster.upstream.runs[b"waiting"] == 0
 
