Test that the only member of a first view waits before it grants slots

Cause: a coordinator that is new in a view waits 6 s, which delays the first requests after a start. It was examined whether the wait can be shortened when the view before had no other member, or when all members confirm that they hold no grant.

Change: none to the wait. A test has the only member lose its registration without noticing while a successor reads a view of its own.

Conclusion: an instance that has lost its registration a moment ago cannot be found in a view, so neither shortcut is safe. Checking the instance lease before each grant would bound it, and is left for another change.

--- a/magnoliaglade/upstreams/tests/test_slots.py
+++ b/magnoliaglade/upstreams/tests/test_slots.py
@@ -168,6 +168,28 @@
         assert await cluster.run(2, lagging=(dead,)) == SLOTS
         await cluster.stop()
 
+    async def test_only_member_of_a_first_view_waits(self):
+        """Guards against two coordinators that grant at once.
+
+        The only member loses its registration and does not know it yet; its
+        successor sees a view without it and cannot ask it.
+        """
+        cluster = Cluster(names=("a", "b"))
+        old, new = cluster.all["a"], cluster.all["b"]
+        cluster.set_view(["a"])
+        old.confirm()
+        await old.start()
+        old.holder.set_demand(U, SLOTS)
+        assert await cluster.run(8, lagging=("b",)) == SLOTS
+        cluster.hub.cut(InstanceId("a"), InstanceId("b"))
+        cluster.set_view(["b"])
+        new.confirm()
+        await new.start()
+        new.holder.set_demand(U, SLOTS)
+        assert await cluster.run(9, lagging=("a",)) == SLOTS
+        assert new.holder.leased(U) == SLOTS
+        await cluster.stop()
+
     async def test_demand_is_shared_and_unused_slots_move(self):
         cluster = Cluster()
         await cluster.start()
