Test the causes that the deadline queue reports

Cause: only the gateway's own refusals were tested for their cause.

Change: a full queue must report overloaded, a deadline that has passed or cannot be met must report deadline.

Conclusion: a caller is not told to slow down because of its own deadline.

--- a/magnoliaglade/requests/tests/test_limits.py
+++ b/magnoliaglade/requests/tests/test_limits.py
@@ -105,6 +105,7 @@
         (in_time,) = load.add(BIG, 1, deadline_s=4)
         await clock.advance(0)
         assert isinstance(late.exception(), requests.RefusedError)
+        assert late.exception().cause is requests.NotRunCause.DEADLINE
         await clock.advance(4)
         await in_time
         await load.stop()
@@ -129,9 +130,16 @@
         assert [t.done() for t in tasks] == [False, True, True, False]
         await clock.advance(45)
         assert [t.done() for t in tasks] == [False, True, True, True]
+        causes = []
         for task in tasks[1:]:
-            with pytest.raises(requests.RefusedError):
+            with pytest.raises(requests.RefusedError) as refusal:
                 await task
+            causes.append(refusal.value.cause)
+        full, late = (
+            requests.NotRunCause.OVERLOADED,
+            requests.NotRunCause.DEADLINE,
+        )
+        assert causes == [full, full, late]
         await load.stop()
 
     async def test_removed_account_is_refused(self):
