Compress configurations between instances

Change: a document in a ConfigUpdate is compressed with zlib. A reply that is damaged, incomplete or expands beyond 16 MiB is ignored and logged.

--- a/magnoliaglade/configuration/_agent.py
+++ b/magnoliaglade/configuration/_agent.py
@@ -336,10 +336,11 @@
             )
             self._take_intents(reply.intents)
             if reply.document:
-                stored = _stored.Stored.from_bytes(
-                    reply.document, source=f"ConfigUpdate from {peer}"
+                source = f"ConfigUpdate from {peer}"
+                document = _messages.unpack_document(
+                    reply.document, source=source
                 )
-                self._apply(stored)
+                self._apply(_stored.Stored.from_bytes(document, source=source))
         except peers.PeerError:
             return None
         except (_errors.InvalidConfigurationError, TypeError) as error:
@@ -375,7 +376,8 @@
     ) -> _messages.ConfigUpdate:
         is_newer = self.revision > request.revision
         if self._stored and is_newer and request.wants_document:
-            return self._update(document=self._stored.to_bytes())
+            document = _messages.pack_document(self._stored.to_bytes())
+            return self._update(document=document)
         return self._update()
 
     async def _on_announcement(
--- a/magnoliaglade/configuration/_messages.py
+++ b/magnoliaglade/configuration/_messages.py
@@ -2,9 +2,15 @@
 
 import dataclasses
 import enum
+import zlib
 from typing import Any
 
 from magnoliaglade import peers
+from magnoliaglade.configuration import _errors
+
+# A frame holds 1 MiB, and configurations shrink to a fifth or less; a value
+# that expands beyond this is damaged.
+_MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
 
 class StoreState(enum.Enum):
@@ -16,6 +22,36 @@
     REFUSED = "refused"
 
 
+def pack_document(data: bytes) -> bytes:
+    """Compresses a stamped configuration for a message."""
+    return zlib.compress(data)
+
+
+def unpack_document(packed: bytes, *, source: str) -> bytes:
+    """Returns the stamped configuration of a message.
+
+    Raises:
+        InvalidConfigurationError: the value is damaged or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(packed, _MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise _invalid(source, str(error)) from error
+    if not decompressor.eof:
+        raise _invalid(source, "incomplete or too large a document")
+    return data
+
+
+def _invalid(source: str, found: str) -> _errors.InvalidConfigurationError:
+    return _errors.InvalidConfigurationError(
+        source=source,
+        path="",
+        found=found,
+        allowed="a compressed configuration",
+    )
+
+
 @peers.message
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigRequest(peers.Message):
@@ -40,7 +76,8 @@
 
     Attributes:
         revision: revision in force at the sender; 0 if there is none.
-        document: the stamped configuration if it is newer than asked for.
+        document: the stamped configuration if it is newer than asked for,
+            see `pack_document`.
         writer: writer of the stamp of the revision.
         sequence: sequence of that stamp.
         age_s: age of the sender's confirmation from the store; negative if
--- a/magnoliaglade/configuration/tests/test_distribution.py
+++ b/magnoliaglade/configuration/tests/test_distribution.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import zlib
 
 import pytest
 
@@ -236,6 +237,26 @@
         await cluster.run(4)
         assert cluster.startable() == {ALL}
 
+    @pytest.mark.parametrize("document", [b"damaged", None])
+    async def test_damaged_reply_is_ignored(self, cluster, document):
+        """Guards against a peer's reply that ends the refresh, or a bomb."""
+        if document is None:
+            document = zlib.compress(b"x" * 20_000_000)
+        reader = cluster[READERS[0]].agent
+
+        async def damaged(sender, request):
+            return dataclasses.replace(
+                reader._update(), revision=2, document=document
+            )
+
+        for name in READERS:
+            cluster[name].agent.network.handle(
+                configuration_lib._messages.ConfigRequest, damaged
+            )
+        await cluster.run(3)
+        assert cluster.revisions() == {1}
+        assert cluster.startable(READERS) == {ALL}
+
     async def test_damaged_value_is_refused(self, cluster):
         """Guards against a crash on a value that is no configuration."""
         await cluster.memory.put("config/current", b"\xc1")
