Bound the answers that a claim partition keeps

Cause: 40,000 claims with the largest answers would take 186 MB.

Change: a partition keeps at most 8 MB of answers. An outcome beyond that is stored, and a repeated key is answered as ran without a body.

Conclusion: one partition stays below 32 MB; an instance that owns several full ones does not.

--- a/magnoliaglade/requests/_claim_partition.py
+++ b/magnoliaglade/requests/_claim_partition.py
@@ -22,7 +22,7 @@
 # that snapshots stay a small share of the writes.
 _CLAIMS_PER_SLOT = 100
 # A claim takes 530 bytes, 763 with an answer of 200 bytes and 4,659 with the
-# largest one that is kept, so a full partition of small answers takes 31 MB.
+# largest one that is kept; `MAX_ANSWERS_BYTES` limits the answers.
 MAX_CLAIMS = 40_000
 # At 8 microseconds each, the event loop is held up for 2 ms at a time.
 _SNAPSHOT_SLICE = 250
--- a/magnoliaglade/requests/_claim_table.py
+++ b/magnoliaglade/requests/_claim_table.py
@@ -16,6 +16,9 @@
 # A released attempt is remembered until no repeated claim request of it can
 # still be on the network.
 RELEASED_KEPT_S = 600.0
+# Answers kept per partition. A full partition of 40,000 claims takes 21 MB
+# without answers, so it stays below 32 MB with them.
+MAX_ANSWERS_BYTES = 8_000_000
 
 # Fields of a claim's record; its progress follows from other records.
 _STORED_FIELDS = (
@@ -73,9 +76,14 @@
 
 
 class ClaimTable:
-    """Claims by key digest, and attempts that were released."""
+    """Claims by key digest, and attempts that were released.
 
-    def __init__(self) -> None:
+    An answer beyond `max_answers_bytes` is not kept; its outcome is.
+    """
+
+    def __init__(self, *, max_answers_bytes: int = MAX_ANSWERS_BYTES) -> None:
+        self.max_answers_bytes = max_answers_bytes
+        self._answers_bytes = 0
         self._claims: dict[bytes, Claim] = {}
         self._open: dict[bytes, Claim] = {}
         self._released: dict[RequestId, float] = {}
@@ -128,7 +136,7 @@
             return self._claims.pop(outcome.key_digest)
         claim.state = ClaimState.FINISHED
         claim.result = result
-        claim.answer = outcome.answer
+        self._keep_answer(claim, outcome.answer)
         return claim
 
     def expire(self, now_s: float, *, limit: int | None = None) -> int:
@@ -151,7 +159,7 @@
             limit,
         )
         for key in claims:
-            del self._claims[key]
+            self._answers_bytes -= len(self._claims.pop(key).answer or b"")
             self._open.pop(key, None)
         released = _leading(
             self._released, lambda at_s: at_s + RELEASED_KEPT_S <= now_s, limit
@@ -195,6 +203,12 @@
             )
             yield encode_outcome(released, at_s=at_s)
 
+    def _keep_answer(self, claim: Claim, answer: bytes | None) -> None:
+        size = len(answer or b"")
+        if self._answers_bytes + size <= self.max_answers_bytes:
+            claim.answer = answer
+            self._answers_bytes += size
+
     def _apply_claim(self, claim: Claim) -> None:
         # A claim whose first write was in doubt may be in the log twice.
         if claim.key_digest in self._claims:
--- a/magnoliaglade/requests/tests/test_claims.py
+++ b/magnoliaglade/requests/tests/test_claims.py
@@ -348,6 +348,23 @@
         _, known = await cluster.claim("b", key, "r3")
         assert known.response == ANSWER
 
+    async def test_answers_are_bounded(self, cluster):
+        """Guards against a table of large answers that takes 186 MB."""
+        key = cluster.key_owned_by("c")
+        table = cluster.partition("c", key).table
+        spec, _ = await cluster.claim("a", key, "r1")
+        cluster.nodes["a"].client.report(spec, Result.RAN, ANSWER)
+        _, second = await cluster.claim("b", key, "r2")
+        assert (second.result, second.response) == (Result.RAN, ANSWER)
+        (claim,) = table._claims.values()
+        table.max_answers_bytes = len(claim.answer)
+        other = dataclasses.replace(claim, answer=None)
+        table._keep_answer(other, b"x")
+        assert other.answer is None
+        table.expire(cluster.clock.time() + 86_500)
+        table._keep_answer(other, b"x")
+        assert other.answer == b"x"
+
     async def test_other_work_runs_while_a_snapshot_is_encoded(self, cluster):
         """Guards against a large table that holds up every request."""
         partition = cluster.partition("c", cluster.key_owned_by("c"))
