--- a/magnoliaglade/configuration/_agent.py
+++ b/magnoliaglade/configuration/_agent.py
@@ -219,7 +219,7 @@
                 await self._reader.watch(wait_s=self.watch_wait_s)
             except (_errors.ConfigurationError, TimeoutError):
                 await self.clock.sleep(self.refresh_s)
-            await self._read()
+            await self._read(is_whole=True)
 
     async def _hint_loop(self) -> None:
         while True:
@@ -245,9 +245,9 @@
         is_reached = states == {_StoreState.REACHED.value}
         return is_reached and self._age_s() <= _RELAY_MAX_AGE_S
 
-    async def _read(self) -> bool:
+    async def _read(self, *, is_whole: bool = False) -> bool:
         """Reads the store; tells whether it confirmed a revision."""
-        reading = await self._reader.read(self._stored)
+        reading = await self._reader.read(self._stored, is_whole=is_whole)
         if reading is None or reading.stored is None:
             return False
         revision = reading.stored.configuration.revision
@@ -336,10 +336,11 @@
             )
             self._take_intents(reply.intents)
             if reply.document:
-                stored = _stored.Stored.from_bytes(
-                    reply.document, source=f"ConfigUpdate from {peer}"
+                source = f"ConfigUpdate from {peer}"
+                document = _messages.unpack_document(
+                    reply.document, source=source
                 )
-                self._apply(stored)
+                self._apply(_stored.Stored.from_bytes(document, source=source))
         except peers.PeerError:
             return None
         except (_errors.InvalidConfigurationError, TypeError) as error:
@@ -375,7 +376,8 @@
     ) -> _messages.ConfigUpdate:
         is_newer = self.revision > request.revision
         if self._stored and is_newer and request.wants_document:
-            return self._update(document=self._stored.to_bytes())
+            document = _messages.pack_document(self._stored.to_bytes())
+            return self._update(document=document)
         return self._update()
 
     async def _on_announcement(
--- a/magnoliaglade/configuration/tests/test_configuration_store.py
+++ b/magnoliaglade/configuration/tests/test_configuration_store.py
@@ -28,9 +28,17 @@
 
 
 class BeforeWrite(standins.FaultyStore):
-    """Runs an action before the next write of the current revision."""
+    """Runs actions before a write of the current revision and after a read."""
 
     action = None
+    after_get = None
+
+    async def get(self, key):
+        entry = await super().get(key)
+        action, self.after_get = self.after_get, None
+        if action is not None:
+            await action()
+        return entry
 
     async def put(self, key, value, **options):
         action = self.action
@@ -100,8 +108,10 @@
         """Guards against reporting an accepted change as lost."""
         store, mine, _ = make()
         base = (await mine.accept(first())).configuration
-        store.lost_answers = 1
+        # The announcement and the write itself.
+        store.lost_answers = 2
         stored = await mine.accept(following(base, entry_instances=6))
+        assert store.lost_answers == 0
         assert await mine.current() == stored
         assert [s.configuration.revision for s in await mine.history()] == [
             1,
@@ -131,6 +141,39 @@
         changes = await mine.diff(2, 3)
         assert [str(c) for c in changes] == ["~ entry_instances: 6 -> 4"]
 
+    @pytest.mark.parametrize("pause", ["get", "put"])
+    async def test_marker_never_confirms_a_replaced_write(self, pause):
+        """Guards against a repeated announcement that hides a new revision.
+
+        The repeated write reads the marker or the other one announces itself
+        first; then the other one is accepted.
+        """
+        store, mine, theirs = make()
+        base = await mine.accept(first())
+        pending, loser = (
+            configuration_lib.PendingWrite(
+                configuration=following(base.configuration, entry_instances=n),
+                base=1,
+                expected=base.store_revision,
+                stamp=store_lib.Stamp(writer=f"writer-{n}", sequence=1),
+            )
+            for n in (6, 7)
+        )
+        accepted = await mine.resolve(pending)
+        assert await mine.is_current(accepted.stamp)
+        with pytest.raises(configuration_lib.ConflictingChangeError):
+            await theirs.resolve(loser)
+        assert not await mine.is_current(accepted.stamp)
+        newer = following(accepted.configuration)
+        if pause == "put":
+            store.action = lambda: theirs.resolve(pending)
+            await mine.accept(newer)
+        else:
+            store.after_get = lambda: theirs.accept(newer)
+            await mine.resolve(pending)
+        assert (await mine.current()).configuration.revision == 3
+        assert not await mine.is_current(accepted.stamp)
+
     @pytest.mark.parametrize("fault", ["lost_answers", "lost_requests"])
     async def test_unknown_outcome_is_resolved_after_the_outage(self, fault):
         """Guards against a second write after an outcome was unknown."""
@@ -142,11 +185,11 @@
         async def last_put(key, value, **options):
             revision = await put(key, value, **options)
             store.is_down = key == "config/current"
+            store.lost_answers = int(store.is_down)
             return revision
 
         if fault == "lost_answers":
             store.store.put = last_put
-            store.lost_answers = 1
         else:
             store.lost_requests = 3
         with pytest.raises(configuration_lib.ConfigurationUnknownError) as e:
@@ -203,3 +246,47 @@
         assert "one of zone-a, zone-b, zone-c" in str(e.value)
         with pytest.raises(configuration_lib.InvalidConfigurationError):
             await mine.accept(following(base, zones=base.zones * 2))
+
+    async def test_history_is_bounded(self):
+        """Guards against growth, and a conflict reported for a pruned write."""
+        clock = clock_lib.ManualClock()
+        memory = store_lib.InMemoryStore(clock=clock)
+        store = standins.FaultyStore(store=memory, clock=clock)
+        writer = configuration_lib.ConfigurationStore(
+            store=store, writer="w", history_revisions=10
+        )
+        base = await writer.accept(first())
+        pending = configuration_lib.PendingWrite(
+            configuration=following(base.configuration),
+            base=1,
+            expected=base.store_revision,
+            stamp=store_lib.Stamp(writer="slow", sequence=1),
+        )
+        accepted = await writer.resolve(pending)
+
+        async def change(times):
+            for _ in range(times):
+                await writer.change(
+                    lambda c: dataclasses.replace(
+                        c, entry_instances=c.entry_instances % 9 + 1
+                    )
+                )
+                await clock.advance(0.1)
+
+        await change(9)
+        assert (await writer.resolve(pending)).stamp == accepted.stamp
+        delete = store.delete
+
+        async def lost_delete(key, **options):
+            store.delete = delete
+            raise store_lib.StoreUnknownError("request lost")
+
+        store.delete = lost_delete
+        await change(21)
+        assert store.delete == delete
+        kept = [s.configuration.revision for s in await writer.history()]
+        assert kept == list(range(23, 33))
+        entries, _ = await memory.list_prefix("config/history/")
+        assert len(entries) == 10
+        with pytest.raises(configuration_lib.ConfigurationUnknownError):
+            await writer.resolve(pending)
