Renew gangs of a silent owner through a delegate

Cause: RenewalDelegate and DelegateNotifier were not wired, so the gangs of an owner that failed during an outage of the store ended after 20 s.

Change: after each renewal round an owner tells the live peer that ranks first for the domain after itself what runs. The delegate of a silent owner collects grants for the owner's epoch and renews only with a majority.

Result: with owner and delegate cut off from each other and both asking the same members, never both may act; after the first one dies the other may. Without the holder check of the grant book the test fails.

Conclusion: grants are exclusive per domain; the demonstration has no outage, so the wired delegate is only covered by the tests of its parts.

--- a/magnoliaglade/daemon/_entry.py
+++ b/magnoliaglade/daemon/_entry.py
@@ -167,6 +167,7 @@
                 "zones": self.zone_control,
                 "outage": self.outage,
                 "router": self.router,
+                "delegate": self.delegate,
                 "slots": self.coordinator,
                 "dispatcher": self.dispatcher,
                 "claims": self.claim_service,
@@ -214,7 +215,8 @@
             collector=membership.GrantCollector(
                 network=self._network, clock=self.clock
             ),
-            owned=lambda: self.campaign.owned,
+            # A domain that this instance owns needs grants for its own epoch.
+            owned=lambda: {**self.delegate.wanted, **self.campaign.owned},
             view=self._view,
             store_reachable=lambda: self.store.is_reachable,
         )
@@ -268,6 +270,13 @@
             startable_zones=self.gate.startable_zones,
             workers=fleet.workers,
         )
+        self.delegate = execution.RenewalDelegate(
+            clock=self.clock,
+            network=self._network,
+            client=fleet.client,
+            is_store_reachable=lambda: self.store.is_reachable,
+            is_permitted=lambda domain, _: self.outage.may_act(domain),
+        )
         self._domains = _jobs.DomainFactory(
             clock=self.clock,
             store=self.store,
@@ -281,6 +290,7 @@
             loads=loads,
             router=self.router,
             is_informed=self._is_informed,
+            network=self._network,
         )
         self.campaign = membership.OwnershipCampaign(
             ownership=self.ownership,
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -5,7 +5,13 @@
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import configuration, execution, membership, scheduling
+from magnoliaglade import (
+    configuration,
+    execution,
+    membership,
+    peers,
+    scheduling,
+)
 from magnoliaglade import platform as platform_lib
 from magnoliaglade import store as store_lib
 from magnoliaglade.daemon import _worker_states
@@ -78,6 +84,7 @@
         loads: execution.LoadBoard,
         router: execution.JobRouter,
         is_informed: Callable[[], Awaitable[bool]],
+        network: peers.PeerNetwork,
     ) -> None:
         self.clock = clock
         self.store = store
@@ -91,6 +98,7 @@
         self.loads = loads
         self.router = router
         self.is_informed = is_informed
+        self.network = network
         self._run_times = scheduling.RunTimeEstimator()
         self._health = _worker_states.WorkerHealth(
             clock=clock, quarantine=scheduling.Quarantine()
@@ -128,6 +136,7 @@
                 spec, exclude=domain
             ),
             forward=self.router.forward,
+            on_renewed=self._notifier(domain).notify,
         )
 
     async def _is_takeover_agreed(self, owned: store_lib.Owned) -> bool:
@@ -147,6 +156,15 @@
         )
         self._run_times.partial_fit([seen])
 
+    def _notifier(self, domain: str) -> execution.DelegateNotifier:
+        return execution.DelegateNotifier(
+            domain=domain,
+            network=self.network,
+            choose=lambda: choose_delegate(
+                domain, owner=self.instance, network=self.network
+            ),
+        )
+
     def _zone_policy(self, zone: ZoneId) -> configuration.ZonePolicy | None:
         current = self.configured()
         is_removed = zone in self.removed_zones()
@@ -190,6 +208,18 @@
         }
 
 
+def choose_delegate(
+    domain: str, *, owner: InstanceId, network: peers.PeerNetwork
+) -> InstanceId | None:
+    """Returns the live peer that ranks first for a domain after its owner.
+
+    It is also the one that acquires the domain when the owner has failed and
+    the store answers.
+    """
+    order = membership.rendezvous_order(domain, network.live_peers - {owner})
+    return order[0] if order else None
+
+
 def job_row(found: execution.FoundJob) -> dict[str, Any]:
     """Returns what callers see of a job."""
     entry = found.entry
--- a/magnoliaglade/execution/_delegate.py
+++ b/magnoliaglade/execution/_delegate.py
@@ -154,6 +154,16 @@
         self._delegations: dict[str, _Delegation] = {}
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def wanted(self) -> dict[str, Epoch]:
+        """Epochs of the domains whose owner is silent; they need grants."""
+        live = self.network.live_peers
+        return {
+            domain: x.epoch
+            for domain, x in self._delegations.items()
+            if x.owner not in live
+        }
+
     async def start(self) -> None:
         """Listens to owners and starts the loop."""
         self.validate_params()
--- a/magnoliaglade/membership/tests/test_membership.py
+++ b/magnoliaglade/membership/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of registration, views and grants."""
 
+import pytest
+
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import membership, peers, standins
 from magnoliaglade import store as store_lib
@@ -150,6 +152,37 @@
         assert not await self.collect(collectors["a"], view, "act", 1)
         assert await self.collect(collectors["b"], view, "act", 2)
 
+    @pytest.mark.parametrize("first", ["a", "b"])
+    async def test_owner_and_delegate_never_act_together(self, first):
+        """Guards against a gang renewed that its owner restarts."""
+        clock, hub, view, _, collectors = self.make()
+        outages = {
+            name: membership.OutageGrants(
+                clock=clock,
+                collector=collectors[name],
+                owned=lambda: {"jobs.z": 1},
+                view=lambda: view,
+                store_reachable=lambda: False,
+            )
+            for name in (first, *({"a", "b"} - {first}))
+        }
+        hub.cut(InstanceId("a"), InstanceId("b"))
+        for outage in outages.values():
+            await outage.start()
+        acting = []
+        for step in range(80):
+            if step == 40:
+                hub.remove(InstanceId(first))
+            await clock.advance(0.25)
+            acting.append(
+                {n for n, x in outages.items() if x.may_act("jobs.z")}
+            )
+        assert all(len(names) <= 1 for names in acting)
+        assert acting[39] == {first}
+        assert acting[-1] == {"a", "b"} - {first}
+        for outage in outages.values():
+            await outage.stop()
+
     async def test_minority_gets_no_grant(self):
         """Guards against starts on the smaller side of a partition."""
         _, hub, view, _, collectors = self.make()
