Revert the agent itself in the test of the revision check

Cause: the test changed what the observer remembered, not the agent. Conclusion: the check reports an agent that reverts.

--- a/tests/matrix/test_checkers.py
+++ b/tests/matrix/test_checkers.py
@@ -75,7 +75,7 @@
         run.submit = submit
         assert Promise.AT_MOST_ONCE in (await run.run()).broken()
 
-    async def test_owner_that_ignores_the_gate(self, monkeypatch):
+    async def test_owner_that_ignores_the_gate(self):
         run = jobs.Run([])
 
         async def leave_zone():
@@ -142,15 +142,18 @@
         found = await shutdown.Run([]).run()
         assert Promise.GRACEFUL_STOP in found.broken()
 
-    async def test_agent_that_reverts(self, monkeypatch):
-        run = settings.Run([])
+    async def test_agent_that_reverts(self):
+        run, stored = settings.Run([]), []
         advance = run.advance
 
         async def revert(seconds):
             await advance(seconds)
             agent = run.cluster[settings.OTHER].agent
-            if agent.revision == 2:
-                run.seen[settings.OTHER] = 3
+            if agent.revision == 1:
+                stored.append(agent._stored)
+            elif agent.revision == 2 and stored:
+                agent._stored = stored[0]
+                stored.clear()
 
         run.advance = revert
         found = await run.change()
