Keep the owner when only a write of its earlier term is fenced

Cause: with a slow store an owner acquires its domain again while a record of a submission is still being written. Its own next epoch closes the log, the write is fenced, and DomainOwner._commit took that for another owner: the loops ended and every later submission was refused, although nobody else held the domain. Conclusion: the owner goes on in its new term.

--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -208,7 +208,9 @@
         except store_lib.StoreUnknownError as error:
             raise _errors.OutcomeUnknownError(str(error)) from error
         except store_lib.LogFencedError as error:
-            self._note_lost(error)
+            # This owner's own next epoch fences a write of an earlier term.
+            if self._term is not None and self._term.journal is journal:
+                self._note_lost(error)
             raise _errors.NotRunError(str(error)) from error
         except store_lib.StoreError as error:
             raise _errors.NotRunError(str(error)) from error
