Add the combinations of faults that a trial found

Change: the combinations run as tests. Conclusion: what covers_key may promise with the store down is to be decided.

--- a/tests/matrix/test_matrix.py
+++ b/tests/matrix/test_matrix.py
@@ -6,6 +6,7 @@
 import pytest
 
 from magnoliaglade import configuration, execution, requests
+from magnoliaglade.faults import Fault
 from tests.matrix import claims, jobs, protocols, settings
 
 CELLS = [
@@ -69,6 +70,34 @@
     for protocol, steps, count in PAIRED
     for pair in sample_pairs(protocol, steps, count)
 ]
+JOB, LAUNCH = execution.JobStep, execution.LaunchStep
+REQUEST = requests.RequestStep
+# Combinations in which a trial with random combinations found a violation.
+FOUND = {
+    "job-submission-during-reacquisition": (
+        jobs.PROTOCOL,
+        [
+            (LAUNCH.ACTIVATE, Fault.PROCESS_DIES),
+            (JOB.RELEASE, Fault.STORE_SLOW),
+        ],
+    ),
+    "request-covers-key-paused-attempt": (
+        claims.PROTOCOL,
+        [
+            (REQUEST.ACCEPT, Fault.STORE_DOWN),
+            (REQUEST.CLAIM, Fault.OPERATORS_RACE),
+            (REQUEST.CLAIM, Fault.LEASE_LAPSES),
+        ],
+    ),
+    "request-covers-key-lost-reply": (
+        claims.PROTOCOL,
+        [
+            (REQUEST.ADMIT, Fault.OPERATORS_RACE),
+            (REQUEST.ACCEPT, Fault.STORE_DOWN),
+            (REQUEST.ACCEPT, Fault.ANSWER_LOST),
+        ],
+    ),
+}
 
 
 class TestMatrix:
@@ -96,3 +125,12 @@
         findings = await protocol.run(list(pair))
         assert findings.crossed & {step for step, _ in pair}
         assert findings.violations == []
+
+    @pytest.mark.parametrize(
+        ("protocol", "cells"), FOUND.values(), ids=FOUND.keys()
+    )
+    async def test_found_combination(self, protocol, cells):
+        """Guards against the violations that combinations have shown."""
+        findings = await protocol.run(cells)
+        assert findings.has_fired
+        assert findings.violations == []
