Hand an open zone intent to the instance that has to store it

Cause: when the writer of an intent is gone, the first live instance in the rendezvous order stores it. If the message to that instance was lost, it does not hold the intent, and the holders waited for it for ever: a zone's return was never stored. A restarted writer would lack its intent in the same way. Change: in each round a holder that is not responsible sends the intent to the instance that is. The driver of the configuration rows tries every living instance, because both that it tried could be out of service at once. Conclusion: an intent is stored as long as one holder lives.

--- a/magnoliaglade/configuration/_zones.py
+++ b/magnoliaglade/configuration/_zones.py
@@ -250,19 +250,24 @@
     async def _store_loop(self) -> None:
         while True:
             for intent in self.intents.open:
-                if self._is_responsible(intent):
-                    # Repeated, because an instance may have been cut off.
-                    await self._spread(intent)
-                    self._ensure_write(intent)
+                responsible = self._responsible(intent)
+                if responsible != self.network.instance:
+                    # It may lack the intent: the message to it was lost, or
+                    # it was restarted.
+                    await self._send(responsible, intent)
+                    continue
+                # Repeated, because an instance may have been cut off.
+                await self._spread(intent)
+                self._ensure_write(intent)
             await self.clock.sleep(self.retry_s)
 
-    def _is_responsible(self, intent: _messages.ZoneIntent) -> bool:
-        own = self.network.instance
-        live = self.network.live_peers
-        if intent.writer == own or intent.writer in live:
-            return intent.writer == own
-        # The writer is gone: one of the holders takes its place.
-        return membership.rendezvous_order(intent.zone, live | {own})[0] == own
+    def _responsible(self, intent: _messages.ZoneIntent) -> InstanceId:
+        members = self.network.live_peers | {self.network.instance}
+        writer = InstanceId(intent.writer)
+        if writer in members:
+            return writer
+        # The writer is gone: another instance takes its place.
+        return membership.rendezvous_order(intent.zone, members)[0]
 
     def _ensure_write(self, intent: _messages.ZoneIntent) -> asyncio.Task[None]:
         write = self._writes.get(intent.zone)
--- a/tests/matrix/settings.py
+++ b/tests/matrix/settings.py
@@ -208,7 +208,9 @@
         await self.start()
         self.command = "change"
         accepted = None
-        for name in (ACTOR, OTHER):
+        for name in (ACTOR, OTHER, *fixtures.READERS):
+            if name in self.dead:
+                continue
             call = self.cluster[name].configurations.change(
                 lambda c: dataclasses.replace(c, entry_instances=6)
             )
--- a/tests/matrix/test_matrix.py
+++ b/tests/matrix/test_matrix.py
@@ -71,7 +71,7 @@
     for pair in sample_pairs(protocol, steps, count)
 ]
 JOB, LAUNCH = execution.JobStep, execution.LaunchStep
-REQUEST = requests.RequestStep
+REQUEST, ZONE = requests.RequestStep, configuration.ZoneStep
 # Combinations in which a trial with random combinations found a violation.
 FOUND = {
     "job-submission-during-reacquisition": (
@@ -81,6 +81,20 @@
             (JOB.RELEASE, Fault.STORE_SLOW),
         ],
     ),
+    "zone-return-of-a-dead-writer": (
+        settings.ZONES,
+        [
+            (ZONE.SPREAD_RETURN, Fault.CONNECTION_SILENT),
+            (ZONE.STORE_RETURN, Fault.PROCESS_DIES),
+        ],
+    ),
+    "zone-removal-of-a-dead-writer": (
+        settings.ZONES,
+        [
+            (ZONE.SPREAD_REMOVAL, Fault.CONNECTION_SILENT),
+            (ZONE.STORE_REMOVAL, Fault.PROCESS_DIES),
+        ],
+    ),
     "request-covers-key-paused-attempt": (
         claims.PROTOCOL,
         [
