--- a/magnoliaglade/configuration/_steps.py
+++ b/magnoliaglade/configuration/_steps.py
@@ -10,7 +10,9 @@
     """
 
     READ_BASE = "get:config/current"
+    READ_MARKER = "get:config/marker"
     READ_HISTORY = "get:config/history"
+    MARK = "put:config/marker"
     PUBLISH = "put:config/current"
     RECORD = "put:config/history"
     REREAD = "reader:config/current"
@@ -24,7 +26,9 @@
 
     SPREAD_REMOVAL = "remove:ZoneIntent"
     RECORD_REMOVAL = "remove:config/commands"
+    MARK_REMOVAL = "remove:config/marker"
     STORE_REMOVAL = "remove:config/current"
     SPREAD_RETURN = "return:ZoneIntent"
     RECORD_RETURN = "return:config/commands"
+    MARK_RETURN = "return:config/marker"
     STORE_RETURN = "return:config/current"
--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -232,7 +232,11 @@
             raise _errors.OutcomeUnknownError(str(error)) from error
         except (store_lib.StoreError, _errors.NotRunError) as error:
             is_fenced = isinstance(error, store_lib.LogFencedError)
-            if is_fenced:
+            # This owner's own next epoch fences a write of an earlier term.
+            is_current = (
+                self._term is not None and self._term.journal is journal
+            )
+            if is_fenced and is_current:
                 self._note_lost(error)
             if is_in_doubt:
                 raise _errors.OutcomeUnknownError(str(error)) from error
--- a/tests/matrix/jobs.py
+++ b/tests/matrix/jobs.py
@@ -8,6 +8,7 @@
 
 from magnoliaglade import configuration, execution, scheduling
 from magnoliaglade import store as store_lib
+from magnoliaglade.daemon import _worker_states
 from magnoliaglade.execution.tests import harness
 from magnoliaglade.faults import Fault, Promise
 from magnoliaglade.platform import worker as worker_lib
@@ -189,7 +190,13 @@
         while (owned := await node.ownership.acquire(harness.DOMAIN)) is None:
             await self.clock.sleep(0.5)
         node.acquire = lambda: _done(owned)
+        # As in the entry process: what is learned lasts as long as it does.
+        health = _worker_states.WorkerHealth(
+            clock=self.clock, quarantine=scheduling.Quarantine()
+        )
         await node.own(
+            workers=lambda: health.with_states(self.cluster.listed()),
+            on_outcome=health.note,
             decide=decide,
             refine=self.refine,
             startable_zones=lambda: self.startable,
--- a/tests/matrix/test_steps.py
+++ b/tests/matrix/test_steps.py
@@ -12,7 +12,13 @@
 # Not called by the owner: see test_throttle_is_not_called.
 _UNUSED_CALLS = {"worker:throttle"}
 # Calls of the owner that change no job, or that end it without a record.
-_QUERIES = {"owner:start", "owner:abandon", "owner:status", "owner:dump"}
+_QUERIES = {
+    "owner:start",
+    "owner:abandon",
+    "owner:status",
+    "owner:dump",
+    "owner:may_hold",
+}
 # These write `record:cancelled` and `record:accepted` alone.
 _BY_RECORD = {"owner:cancel", "owner:accept"}
 # Calls of LaunchStep, which the launcher itself enumerates. A snapshot needs
