Split the entry process and share the stand-ins' server

Change: values of the configuration, metrics and the request path in modules of their own; one base class for stand-ins; clients of workers that left the list are closed; the estimator's declared value is an abstract method. Conclusion: behaviour is unchanged but for the closed clients.

--- a/magnoliaglade/daemon/_calls.py
+++ b/magnoliaglade/daemon/_calls.py
@@ -3,7 +3,6 @@
 import hashlib
 import hmac
 import json
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import blacksheep
@@ -12,7 +11,7 @@
 from magnoliaglade.daemon import _errors
 
 MAX_JSON_BYTES = 1_048_576
-Handler = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
+Handler = http.Handler
 
 
 def answering(handler: Handler) -> Handler:
--- a/magnoliaglade/daemon/_entry.py
+++ b/magnoliaglade/daemon/_entry.py
@@ -13,9 +13,7 @@
     membership,
     observability,
     peers,
-    requests,
     settings,
-    upstreams,
 )
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import platform as platform_lib
@@ -23,10 +21,13 @@
 from magnoliaglade.daemon import (
     _caller_api,
     _calls,
+    _configured,
     _errors,
     _health_api,
     _jobs,
+    _metrics,
     _operator_api,
+    _requests,
 )
 from magnoliaglade.types import InstanceId, ZoneId
 
@@ -101,6 +102,7 @@
             return
         await self.gateway.stop(force=force)
         await self._runtime.stop()
+        await self._fleet.stop()
         await self._server.stop()
         await self._network.stop()
         await self._store_client.stop()
@@ -179,27 +181,18 @@
         )
 
     def _make_reporter(self) -> observability.MetricsReporter:
-        options = self.settings
-        metrics: observability.Metrics = observability.InMemoryMetrics()
-        if options.statsd_host:
-            metrics = observability.StatsdMetrics(
-                host=options.statsd_host,
-                port=options.statsd_port,
-                prefix=f"{options.statsd_prefix}.{self.instance}",
-            )
-        return observability.MetricsReporter(
+        return _metrics.make_reporter(
+            self.settings,
             clock=self.clock,
-            metrics=metrics,
             counters={
                 "requests": lambda: self.gateway.counters,
                 "peers": lambda: self._network.counts,
-                "store": lambda: {
-                    "calls": self.store.calls,
-                    "writes": self.store.writes,
-                    "failures": self.store.failures,
-                },
+                "store": self.store.counts,
+            },
+            gauges={
+                "instance": self._gauges,
+                "jobs": lambda: _metrics.job_gauges(self._loads()),
             },
-            gauges={"instance": self._gauges, "jobs": self._job_gauges},
         )
 
     def _gauges(self) -> dict[str, float]:
@@ -215,17 +208,6 @@
             "open_intents": len(self.intents.open),
         }
 
-    def _job_gauges(self) -> dict[str, float]:
-        return {
-            f"{execution.zone_of(domain)}.{name}": value
-            for domain, load in self._loads().items()
-            for name, value in (
-                ("used_accelerators", load.used),
-                ("queued_accelerators", load.queued),
-                ("tasks", load.tasks),
-            )
-        }
-
     def _build_membership(self) -> None:
         self.lease = store_lib.InstanceLease(store=self.store, clock=self.clock)
         self.ownership = store_lib.Ownership(
@@ -285,6 +267,9 @@
             confirmations=confirmations,
             intents=self.intents,
         )
+        self.configured = _configured.ConfiguredValues(
+            agent=self.agent, intents=self.intents
+        )
         self.agent.add_listener(self._on_configuration)
         self.gate = configuration.ZoneGate(
             agent=self.agent, confirmations=confirmations, intents=self.intents
@@ -309,13 +294,14 @@
             poll_s=self.settings.instance_list_poll_s,
         )
         fleet = _jobs.WorkerFleet(inventory=self.inventory)
+        self._fleet = fleet
         loads = execution.LoadBoard(board=self.board, local=self._loads)
         self.router = execution.JobRouter(
             network=self._network,
             directory=self.directory,
             loads=loads,
             owner=lambda domain: self.campaign.service(domain),
-            zones=self._zones,
+            zones=self.configured.zones,
             startable_zones=self.gate.startable_zones,
             workers=fleet.workers,
         )
@@ -332,9 +318,9 @@
             instance=self.instance,
             ownership=self.ownership,
             fleet=fleet,
-            configured=lambda: self.agent.configuration,
+            configured=lambda: self.configured.current,
             startable_zones=self.gate.startable_zones,
-            removed_zones=self._removed_zones,
+            removed_zones=self.configured.removed_zones,
             outage=self.outage,
             loads=loads,
             router=self.router,
@@ -347,69 +333,41 @@
             network=self._network,
             clock=self.clock,
             view=self._view,
-            domains=lambda: [execution.domain_of(z) for z in self._zones()],
+            domains=lambda: [
+                execution.domain_of(z) for z in self.configured.zones()
+            ],
             factory=self._domains.make,
             may_take_over=self.outage.may_take_over,
         )
 
     def _build_requests(self) -> None:
-        self.dispatcher = requests.UpstreamDispatcher(
+        parts = _requests.RequestPartsBuilder(
             clock=self.clock,
-            instance_list=self.inventory,
-            network=self._network,
-            view=self._view,
+            instance=self.instance,
+            incarnation=self.incarnation,
             zone=self.settings.zone,
-            zones=self.gate.startable_zones,
-            services=self._services,
-            connection_share=self._connection_share,
-            slots=self._slots,
-            seed=uuid.uuid4().int,
-        )
-        self.coordinator = upstreams.SlotCoordinator(
-            network=self._network,
-            clock=self.clock,
-            view=self._view,
-            view_age_s=lambda: self.registry.view_age_s,
-            slots=self.dispatcher.slots_by_upstream,
-        )
-        self.admission = requests.SlotAdmission(
-            clock=self.clock,
-            dispatcher=self.dispatcher,
-            accounts=self._accounts,
-        )
-        self.claim_service = requests.ClaimService(
-            clock=self.clock,
             store=self.store,
-            network=self._network,
             ownership=self.ownership,
-            views=self.registry,
-        )
-        self.claims_client = requests.ClaimsClient(
-            clock=self.clock,
             network=self._network,
-            service=self.claim_service,
-            incarnation=self.incarnation,
-        )
-        self.gateway = requests.Gateway(
-            clock=self.clock,
-            instance=self.instance,
-            configurations=self.agent,
-            admission=self.admission,
-            claims=self.claims_client,
-            dispatcher=self.dispatcher,
-            retries=requests.BudgetedRetries(
-                clock=self.clock,
-                budget=requests.RetryBudget(clock=self.clock),
-                seed=uuid.uuid4().int,
-            ),
-        )
+            registry=self.registry,
+            inventory=self.inventory,
+            agent=self.agent,
+            configured=self.configured,
+            startable_zones=self.gate.startable_zones,
+        ).build()
+        self.coordinator = parts.coordinator
+        self.dispatcher = parts.dispatcher
+        self.admission = parts.admission
+        self.claim_service = parts.claim_service
+        self.claims_client = parts.claims_client
+        self.gateway = parts.gateway
 
     def _build_interfaces(self) -> None:
         callers = _caller_api.CallerApi(
             clock=self.clock,
             gateway=self.gateway,
             router=self.router,
-            configured=lambda: self.agent.configuration,
+            configured=lambda: self.configured.current,
             is_accepting=lambda: self._is_ready,
         )
         operators = _operator_api.OperatorApi(
@@ -459,17 +417,6 @@
         view = self._view()
         return len(answered & set(view.instances)) >= view.majority
 
-    def _zones(self) -> frozenset[ZoneId]:
-        current = self.agent.configuration
-        return (
-            frozenset(z.zone for z in current.zones) if current else frozenset()
-        )
-
-    def _removed_zones(self) -> frozenset[ZoneId]:
-        current = self.agent.configuration
-        in_service = current.zones_in_service if current else frozenset()
-        return (self._zones() - in_service) | self.intents.removed_zones
-
     def _zone_owner(self, zone: ZoneId) -> InstanceId | None:
         record = self.directory.owner_of(execution.domain_of(zone))
         return record.instance if record else None
@@ -481,27 +428,3 @@
             if isinstance(owner, execution.DomainOwner):
                 found[domain] = execution.measure_load(owner.jobs)
         return found
-
-    def _services(self) -> frozenset[str]:
-        current = self.agent.configuration
-        if current is None:
-            return frozenset()
-        return frozenset(s.service for s in current.services)
-
-    def _accounts(self) -> tuple[configuration.AccountConfig, ...]:
-        current = self.agent.configuration
-        return current.accounts if current else ()
-
-    def _slots(self, service: str) -> int:
-        current = self.agent.configuration
-        config = current.service(service) if current else None
-        return config.slots_per_upstream if config else 0
-
-    def _connection_share(self, service: str) -> int:
-        current = self.agent.configuration
-        config = current.service(service) if current else None
-        if current is None or config is None:
-            return 2
-        share = config.connections_per_upstream // current.entry_instances
-        # One connection of the share is kept for probes.
-        return max(2, share)
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -1,5 +1,6 @@
 """Connects the owners of scheduling domains to the rest of the process."""
 
+import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -21,11 +22,17 @@
 
 
 class WorkerFleet:
-    """The listed workers with their clients."""
+    """The listed workers with their clients.
+
+    The client of a worker that left the list is closed, so that connections
+    do not pile up when workers are replaced every day.
+    """
 
     def __init__(self, *, inventory: platform_lib.InstanceInventory) -> None:
         self.inventory = inventory
         self._clients: dict[str, platform_lib.HttpWorker] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+        inventory.on_read(self._drop_departed)
 
     def workers(
         self, zone: ZoneId | None = None
@@ -53,6 +60,16 @@
         """Closes all connections."""
         for client in self._clients.values():
             await client.close()
+        await asyncio.gather(*self._closing)
+
+    def _drop_departed(
+        self, listed: list[instance_list_lib.ListedInstance]
+    ) -> None:
+        addresses = {x.address for x in listed}
+        for address in set(self._clients) - addresses:
+            task = asyncio.ensure_future(self._clients.pop(address).close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
     def _client(self, address: str) -> platform_lib.HttpWorker:
         client = self._clients.get(address)
--- a/magnoliaglade/http/__init__.py
+++ b/magnoliaglade/http/__init__.py
@@ -9,6 +9,7 @@
 )
 from magnoliaglade.http._server import (
     BodyTooLargeError,
+    Handler,
     HttpServer,
     HttpServerError,
     bind,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "BodyTooLargeError",
+    "Handler",
     "HttpClient",
     "HttpClientError",
     "HttpServer",
--- a/magnoliaglade/scheduling/_estimators.py
+++ b/magnoliaglade/scheduling/_estimators.py
@@ -1,5 +1,6 @@
 """Run time and memory learned from what ran, and memory pressure."""
 
+import abc
 import bisect
 import dataclasses
 import enum
@@ -70,9 +71,9 @@
         """Returns one estimate per gang."""
         return [self._predict(gang) for gang in queries]
 
+    @abc.abstractmethod
     def declared(self, gang: _model.Gang) -> float:
         """Returns the value that the gang's submitter declared."""
-        raise NotImplementedError
 
     def _predict(self, gang: _model.Gang) -> float:
         for key in ((gang.account, gang.kind), gang.kind):
--- a/magnoliaglade/standins/executor.py
+++ b/magnoliaglade/standins/executor.py
@@ -10,18 +10,20 @@
 
 import asyncio
 import collections
+from collections.abc import Mapping
 
 import blacksheep
 
-from magnoliaglade import base, http
 from magnoliaglade import clock as clock_lib
+from magnoliaglade import http
+from magnoliaglade.standins import _server
 
 __all__ = ["ExecutorServer"]
 
 _MAX_BODY_BYTES = 16_777_216
 
 
-class ExecutorServer(base.Component):
+class ExecutorServer(_server.StandinServer):
     """Runs requests in a bounded number of slots.
 
     Attributes:
@@ -46,38 +48,19 @@
         self.clock = clock
         self.run_s = run_s
         self.slots = slots
-        self.host = host
-        self.port = port
         self.is_leaving = False
         self.is_failing = False
         self.is_silent = False
         self.runs: collections.Counter[str] = collections.Counter()
         self.most_running = 0
         self._running = 0
-        self._server = http.HttpServer(
-            application=http.new_application(
-                {
-                    ("POST", "/v1/services/{service}/{kind}"): self._run,
-                    ("GET", "/healthz"): self._health,
-                }
-            ),
-            host=host,
-            port=port,
-            stop_timeout_s=1.0,
-        )
-
-    @property
-    def address(self) -> str:
-        """`host:port` of the interface."""
-        return f"{self.host}:{self._server.bound_port}"
-
-    async def start(self) -> None:
-        """Starts to serve."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """Stops serving."""
-        await self._server.stop()
+        super().__init__(host=host, port=port)
+
+    def _routes(self) -> Mapping[tuple[str, str], http.Handler]:
+        return {
+            ("POST", "/v1/services/{service}/{kind}"): self._run,
+            ("GET", "/healthz"): self._health,
+        }
 
     async def _health(self, request: blacksheep.Request) -> blacksheep.Response:
         return self._finish(request, 200, b"alive")
--- a/magnoliaglade/standins/instance_list.py
+++ b/magnoliaglade/standins/instance_list.py
@@ -7,13 +7,15 @@
 
 import dataclasses
 import json
+from collections.abc import Mapping
 from typing import Any
 
 import blacksheep
 
-from magnoliaglade import base, http, platform
 from magnoliaglade import clock as clock_lib
+from magnoliaglade import http, platform
 from magnoliaglade.platform import instance_list
+from magnoliaglade.standins import _server
 from magnoliaglade.types import InstanceId
 
 __all__ = ["InstanceListServer"]
@@ -22,7 +24,7 @@
 _MAX_BODY_BYTES = 65_536
 
 
-class InstanceListServer(base.Component):
+class InstanceListServer(_server.StandinServer):
     """Serves a list that follows its changes with a lag."""
 
     def __init__(
@@ -35,33 +37,8 @@
     ) -> None:
         self.clock = clock
         self.lag_s = lag_s
-        self.host = host
-        self.port = port
         self._changes: list[tuple[float, InstanceId, Listed | None]] = []
-        self._server = http.HttpServer(
-            application=http.new_application(
-                {
-                    ("GET", "/v1/instances"): self._get,
-                    ("POST", "/v1/instances"): self._post,
-                }
-            ),
-            host=host,
-            port=port,
-            stop_timeout_s=1.0,
-        )
-
-    @property
-    def url(self) -> str:
-        """Base URL of the service."""
-        return f"http://{self.host}:{self._server.bound_port}"
-
-    async def start(self) -> None:
-        """Starts to serve."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """Stops serving."""
-        await self._server.stop()
+        super().__init__(host=host, port=port)
 
     def put(self, listed: Listed) -> None:
         """Adds or replaces an instance."""
@@ -84,6 +61,12 @@
                 current[instance] = listed
         return list(current.values())
 
+    def _routes(self) -> Mapping[tuple[str, str], http.Handler]:
+        return {
+            ("GET", "/v1/instances"): self._get,
+            ("POST", "/v1/instances"): self._post,
+        }
+
     async def _get(self, request: blacksheep.Request) -> blacksheep.Response:
         found = [_fields(i) for i in await self.instances()]
         return http.json_response(200, {"instances": found})
--- a/magnoliaglade/standins/store.py
+++ b/magnoliaglade/standins/store.py
@@ -15,64 +15,47 @@
 """
 
 import dataclasses
+from collections.abc import Mapping
 from typing import Any
 
 import blacksheep
 
-from magnoliaglade import base, http
 from magnoliaglade import clock as clock_lib
+from magnoliaglade import http
 from magnoliaglade import store as store_lib
-from magnoliaglade.standins import _faulty_store
+from magnoliaglade.standins import _faulty_store, _server
 from magnoliaglade.types import LeaseId
 
 __all__ = ["StoreServer"]
 
 
-class StoreServer(base.Component):
+class StoreServer(_server.StandinServer):
     """Serves an `InMemoryStore`; `faults` brings about outages and losses."""
 
     def __init__(
         self, *, clock: clock_lib.Clock, host: str = "127.0.0.1", port: int = 0
     ) -> None:
         self.clock = clock
-        self.host = host
-        self.port = port
         self.memory = store_lib.InMemoryStore(clock=clock)
         self.faults = _faulty_store.FaultyStore(store=self.memory, clock=clock)
-        self._server = http.HttpServer(
-            application=self._application(),
-            host=host,
-            port=port,
-            stop_timeout_s=1.0,
-        )
-
-    @property
-    def url(self) -> str:
-        """Base URL of the service."""
-        return f"http://{self.host}:{self._server.bound_port}"
-
-    async def start(self) -> None:
-        """Starts to serve."""
-        await self._server.start()
+        super().__init__(host=host, port=port)
 
     async def stop(self) -> None:
-        """Stops serving; the entries are gone with the process."""
+        """Ends the waiting watches and stops serving."""
         self.memory.close()
-        await self._server.stop()
-
-    def _application(self) -> blacksheep.Application:
-        return http.new_application(
-            {
-                ("GET", "/v1/entry"): self._get,
-                ("PUT", "/v1/entry"): self._put,
-                ("DELETE", "/v1/entry"): self._delete,
-                ("GET", "/v1/entries"): self._list,
-                ("GET", "/v1/watch"): self._watch,
-                ("POST", "/v1/leases"): self._grant,
-                ("POST", "/v1/leases/renew"): self._renew,
-                ("POST", "/v1/leases/revoke"): self._revoke,
-            }
-        )
+        await super().stop()
+
+    def _routes(self) -> Mapping[tuple[str, str], http.Handler]:
+        return {
+            ("GET", "/v1/entry"): self._get,
+            ("PUT", "/v1/entry"): self._put,
+            ("DELETE", "/v1/entry"): self._delete,
+            ("GET", "/v1/entries"): self._list,
+            ("GET", "/v1/watch"): self._watch,
+            ("POST", "/v1/leases"): self._grant,
+            ("POST", "/v1/leases/renew"): self._renew,
+            ("POST", "/v1/leases/revoke"): self._revoke,
+        }
 
     async def _get(self, request: blacksheep.Request) -> blacksheep.Response:
         entry = await _answer(self.faults.get(_arg(request, "key")))
--- a/magnoliaglade/standins/worker.py
+++ b/magnoliaglade/standins/worker.py
@@ -5,14 +5,15 @@
 epoch.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Mapping
 from typing import Any
 
 import blacksheep
 import msgpack
 
-from magnoliaglade import base, http
+from magnoliaglade import http
 from magnoliaglade.platform import codec, worker
+from magnoliaglade.standins import _server
 
 __all__ = ["WorkerServer"]
 
@@ -28,7 +29,7 @@
 }
 
 
-class WorkerServer(base.Component):
+class WorkerServer(_server.StandinServer):
     """Serves one worker."""
 
     def __init__(
@@ -39,35 +40,15 @@
         port: int = 0,
     ) -> None:
         self.worker = worker
-        self.host = host
-        self.port = port
+        super().__init__(host=host, port=port)
+
+    def _routes(self) -> Mapping[tuple[str, str], http.Handler]:
         routes = {
             ("POST", f"/v1/{name}"): self._serve(name) for name in _REQUESTS
         }
-        routes[("POST", "/v1/fence")] = self._fence
-        self._server = http.HttpServer(
-            application=http.new_application(routes),
-            host=host,
-            port=port,
-            stop_timeout_s=1.0,
-        )
-
-    @property
-    def address(self) -> str:
-        """`host:port` of the interface."""
-        return f"{self.host}:{self._server.bound_port}"
-
-    async def start(self) -> None:
-        """Starts to serve."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """Stops serving."""
-        await self._server.stop()
+        return {**routes, ("POST", "/v1/fence"): self._fence}
 
-    def _serve(
-        self, name: str
-    ) -> Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]:
+    def _serve(self, name: str) -> http.Handler:
         async def serve(request: blacksheep.Request) -> blacksheep.Response:
             data = await _unpack(request)
             value = codec.decode_request(_REQUESTS[name], data)
--- a/magnoliaglade/store/_monitored.py
+++ b/magnoliaglade/store/_monitored.py
@@ -28,15 +28,18 @@
         """Whether a call was answered recently."""
         return self.clock.now() - self._answered_s <= REACHABLE_AGE_S
 
-    def dump(self) -> dict[str, Any]:
-        """Returns reachability and call counts."""
+    def counts(self) -> dict[str, int]:
+        """Returns calls, writes and calls without an answer so far."""
         return {
-            "reachable": self.is_reachable,
             "calls": self.calls,
             "writes": self.writes,
             "failures": self.failures,
         }
 
+    def dump(self) -> dict[str, Any]:
+        """Returns reachability and call counts."""
+        return {"reachable": self.is_reachable, **self.counts()}
+
     async def get(self, key: str) -> Entry | None:
         """See `Store.get`."""
         return await self._watch_call(self.store.get(key))
