--- a/benchmarks/_renewals.py
+++ b/benchmarks/_renewals.py
@@ -76,7 +76,7 @@
             calls=_calls.WorkerCalls(
                 clock=self.clock,
                 client=self.links.__getitem__,
-                authority=_calls.Authority(
+                authority=_calls.OwnerAuthority(
                     owned=_Owned(), is_permitted=lambda: True
                 ),
             ),
