--- a/magnoliaglade/settings/_fields.py
+++ b/magnoliaglade/settings/_fields.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+from returns import result
+
 from magnoliaglade import base
 from magnoliaglade.settings import _errors
 
@@ -61,12 +63,12 @@
 
 def check(
     fields: tuple[Field, ...], data: Any
-) -> tuple[dict[str, Any], list[_errors.Problem]]:
-    """Returns the values by dotted key, and every problem."""
+) -> result.Result[dict[str, Any], list[_errors.Problem]]:
+    """Returns the values by dotted key, or every problem."""
     if not isinstance(data, Mapping):
-        return {}, [
-            _errors.Problem(key="(file)", found=data, allowed="a mapping")
-        ]
+        return result.Failure(
+            [_errors.Problem(key="(file)", found=data, allowed="a mapping")]
+        )
     given = dict(_flatten(data, fields))
     known = {f.key: f for f in fields}
     problems = [
@@ -87,7 +89,7 @@
                 _errors.Problem(key=key, found=value, allowed=str(field.rule))
             )
         values[key] = value
-    return values, problems
+    return result.Failure(problems) if problems else result.Success(values)
 
 
 def _flatten(data: Mapping[Any, Any], fields: tuple[Field, ...]) -> Any:
--- a/magnoliaglade/settings/_settings.py
+++ b/magnoliaglade/settings/_settings.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import yaml
+from returns import result
 
 from magnoliaglade import base
 from magnoliaglade.settings import _errors, _fields
@@ -148,7 +149,11 @@
     Raises:
         SettingsError: lists every problem with its key.
     """
-    values, problems = _fields.check(FIELDS, data)
-    if problems:
-        raise _errors.SettingsError(path=path, problems=problems)
-    return Settings(**{k.replace(".", "_"): v for k, v in values.items()})
+    match _fields.check(FIELDS, data):
+        case result.Success(values):
+            fields = {k.replace(".", "_"): v for k, v in values.items()}
+            return Settings(**fields)
+        case result.Failure(problems):
+            raise _errors.SettingsError(path=path, problems=problems)
+        case other:
+            raise AssertionError(f"not a result: {other!r}")
