--- a/magnoliaglade/cli/_client.py
+++ b/magnoliaglade/cli/_client.py
@@ -1,9 +1,11 @@
 """Calls from the command line to an entry instance."""
 
 import asyncio
+import functools
 import json
 import os
 import pathlib
+from collections.abc import Callable
 from typing import Any
 
 import click
@@ -41,7 +43,26 @@
     )
 
 
-operator_key_option = key_option(OPERATOR_KEY_VARIABLE, "operators'")
+def _with_key(variable: str, whose: str) -> Callable[[Any], Any]:
+    """Returns a decorator that adds URL, key and JSON to a command.
+
+    The command gets `url`, `key` and `as_json`.
+    """
+
+    def decorate(command: Any) -> Any:
+        @functools.wraps(command)
+        def run(*args: Any, key_file: pathlib.Path | None, **kw: Any) -> Any:
+            return command(*args, key=read_key(variable, key_file), **kw)
+
+        for option in (json_option, key_option(variable, whose), url_option):
+            run = option(run)
+        return run
+
+    return decorate
+
+
+operator_command = _with_key(OPERATOR_KEY_VARIABLE, "operators'")
+account_command = _with_key(ACCOUNT_KEY_VARIABLE, "client account's")
 account_key_option = key_option(ACCOUNT_KEY_VARIABLE, "client account's")
 
 
--- a/magnoliaglade/cli/_configuration.py
+++ b/magnoliaglade/cli/_configuration.py
@@ -74,18 +74,15 @@
     help="Revision that the answers were made from; the current one if none "
     "is given. If another is current, nothing changes.",
 )
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
+@_client.operator_command
 def config_apply(
     answers: pathlib.Path,
     base: int | None,
     url: str,
-    key_file: pathlib.Path | None,
+    key: str,
     as_json: bool,
 ) -> None:
     """Generate the configuration from ANSWERS and make it current."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     loaded = _load(lambda: config_lib.load_answers(answers))
     current = _client.call(url, "GET", "/v1/operator/config", key=key)
     base = current["revision"] if base is None else base
@@ -109,17 +106,14 @@
 
 @config.command("show")
 @click.option("--revision", type=int, help="The current one by default.")
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
+@_client.operator_command
 def config_show(
     revision: int | None,
     url: str,
-    key_file: pathlib.Path | None,
+    key: str,
     as_json: bool,
 ) -> None:
     """Show a revision of the configuration."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     query = {"revision": revision}
     answer = _client.call(
         url, "GET", "/v1/operator/config", key=key, query=query
@@ -133,14 +127,9 @@
 
 
 @config.command("history")
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def config_history(
-    url: str, key_file: pathlib.Path | None, as_json: bool
-) -> None:
+@_client.operator_command
+def config_history(url: str, key: str, as_json: bool) -> None:
     """List all accepted revisions."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     answer = _client.call(url, "GET", "/v1/operator/config/history", key=key)
     columns = ["revision", "writer", "removed_zones"]
     _output.show(answer["revisions"], as_json=as_json, columns=columns)
@@ -149,17 +138,16 @@
 @config.command("diff")
 @click.argument("old", type=int)
 @click.argument("new", type=int)
-@_client.url_option
-@_client.operator_key_option
-def config_diff(
-    old: int, new: int, url: str, key_file: pathlib.Path | None
-) -> None:
+@_client.operator_command
+def config_diff(old: int, new: int, url: str, key: str, as_json: bool) -> None:
     """Show what changed from revision OLD to revision NEW."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     query = {"old": old, "new": new}
     answer = _client.call(
         url, "GET", "/v1/operator/config/diff", key=key, query=query
     )
+    if as_json:
+        _output.show(answer, as_json=True)
+        return
     for change in answer["changes"]:
         click.echo(change)
 
--- a/magnoliaglade/cli/_jobs.py
+++ b/magnoliaglade/cli/_jobs.py
@@ -27,17 +27,14 @@
     "--submission-id",
     help="Repeating a submission with the same id starts nothing twice.",
 )
-@_client.url_option
-@_client.account_key_option
-@_client.json_option
-def job_submit(specification, submission_id, url, key_file, as_json):
+@_client.account_command
+def job_submit(specification, submission_id, url, key, as_json):
     """Submit the job described in the YAML file SPECIFICATION.
 
     Keys: command, tasks, cores, memory_gb, accelerators, adjacency (any, zone,
     rack, worker), priority (batch, normal, urgent), run_s, deadline_s,
     checkpointable, at_most_once, kind, zone.
     """
-    key = _client.read_key(_client.ACCOUNT_KEY_VARIABLE, key_file)
     try:
         fields = yaml.safe_load(specification.read())
     except yaml.YAMLError as error:
@@ -56,34 +53,25 @@
 
 @job.command("status")
 @click.argument("name")
-@_client.url_option
-@_client.account_key_option
-@_client.json_option
-def job_status(name, url, key_file, as_json):
+@_client.account_command
+def job_status(name, url, key, as_json):
     """Show the state of job NAME."""
-    key = _client.read_key(_client.ACCOUNT_KEY_VARIABLE, key_file)
     _show_job(_client.call(url, "GET", f"/v1/jobs/{name}", key=key), as_json)
 
 
 @job.command("list")
-@_client.url_option
-@_client.account_key_option
-@_client.json_option
-def job_list(url, key_file, as_json):
+@_client.account_command
+def job_list(url, key, as_json):
     """List the client account's jobs."""
-    key = _client.read_key(_client.ACCOUNT_KEY_VARIABLE, key_file)
     answer = _client.call(url, "GET", "/v1/jobs", key=key)
     _output.show(answer["jobs"], as_json=as_json, columns=_COLUMNS)
 
 
 @job.command("cancel")
 @click.argument("names", nargs=-1, required=True)
-@_client.url_option
-@_client.account_key_option
-@_client.json_option
-def job_cancel(names, url, key_file, as_json):
+@_client.account_command
+def job_cancel(names, url, key, as_json):
     """Cancel the jobs NAMES."""
-    key = _client.read_key(_client.ACCOUNT_KEY_VARIABLE, key_file)
     answers = [
         _client.call(url, "DELETE", f"/v1/jobs/{n}", key=key) for n in names
     ]
--- a/magnoliaglade/cli/_operations.py
+++ b/magnoliaglade/cli/_operations.py
@@ -12,12 +12,9 @@
 
 
 @zone.command("list")
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def zone_list(url, key_file, as_json):
+@_client.operator_command
+def zone_list(url, key, as_json):
     """List zones with their state and whether work may start there."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     answer = _client.call(url, "GET", "/v1/operator/zones", key=key)
     columns = ["zone", "region", "state", "startable", "owner"]
     _output.show(answer["zones"], as_json=as_json, columns=columns)
@@ -25,30 +22,25 @@
 
 @zone.command("remove")
 @click.argument("name")
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def zone_remove(name, url, key_file, as_json):
+@_client.operator_command
+def zone_remove(name, url, key, as_json):
     """Take zone NAME out of service.
 
     Says which entry instances have confirmed and whether the change is stored.
     Exit status 1 means that some instance has not confirmed.
     """
-    _set_zone(name, "removed", url, key_file, as_json)
+    _set_zone(name, "removed", url, key, as_json)
 
 
 @zone.command("return")
 @click.argument("name")
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def zone_return(name, url, key_file, as_json):
+@_client.operator_command
+def zone_return(name, url, key, as_json):
     """Bring zone NAME back into service."""
-    _set_zone(name, "in-service", url, key_file, as_json)
+    _set_zone(name, "in-service", url, key, as_json)
 
 
-def _set_zone(name, state, url, key_file, as_json):
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
+def _set_zone(name, state, url, key, as_json):
     answer = _client.call(
         url,
         "POST",
@@ -72,24 +64,18 @@
 
 
 @click.command()
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def upstreams(url, key_file, as_json):
+@_client.operator_command
+def upstreams(url, key, as_json):
     """List upstreams with their state as the entry instance sees it."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     answer = _client.call(url, "GET", "/v1/operator/upstreams", key=key)
     columns = ["upstream", "service", "zone", "state", "outstanding"]
     _output.show(answer["upstreams"], as_json=as_json, columns=columns)
 
 
 @click.command()
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def account(url, key_file, as_json):
+@_client.operator_command
+def account(url, key, as_json):
     """List client accounts with guarantees, shares and quotas."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     answer = _client.call(url, "GET", "/v1/operator/accounts", key=key)
     columns = ["account", "guarantees", "request_share", "max_accelerators"]
     _output.show(answer["accounts"], as_json=as_json, columns=columns)
@@ -97,12 +83,9 @@
 
 @click.command()
 @click.option("--all", "everyone", is_flag=True, help="All entry instances.")
-@_client.url_option
-@_client.operator_key_option
-@_client.json_option
-def state(everyone, url, key_file, as_json):
+@_client.operator_command
+def state(everyone, url, key, as_json):
     """Dump the state of an entry instance, or of all, as YAML or JSON."""
-    key = _client.read_key(_client.OPERATOR_KEY_VARIABLE, key_file)
     query = {"all": "1"} if everyone else None
     answer = _client.call(
         url, "GET", "/v1/operator/state", key=key, query=query
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -197,7 +197,8 @@
         if current is None:
             return snapshot
         snapshot = self._returns.apply(snapshot)
-        gangs = list(snapshot.pending)
+        running = (r.gang for r in snapshot.running.values())
+        gangs = [*snapshot.pending, *running]
         expected = self._run_times.predict(gangs)
         return dataclasses.replace(
             snapshot,
