--- a/magnoliaglade/requests/_dispatch.py
+++ b/magnoliaglade/requests/_dispatch.py
@@ -126,7 +126,9 @@
                 "service": name,
                 "zone": listed.zone,
                 "state": self._state(parts, UpstreamId(listed.instance)),
-                "outstanding": self._outstanding(parts, listed),
+                "outstanding": parts.loads.outstanding(
+                    UpstreamId(listed.instance)
+                ),
             }
             for name, parts in sorted(self._parts.items())
             for listed in parts.directory.listed()
@@ -324,15 +326,6 @@
             return "not-eligible"
         return parts.ejector.health(upstream).value
 
-    def _outstanding(
-        self, parts: ServiceParts, listed: instance_list_lib.ListedInstance
-    ) -> int:
-        return self._in_use(parts, UpstreamId(listed.instance))
-
-    def _in_use(self, parts: ServiceParts, upstream: UpstreamId) -> int:
-        (candidate,) = parts.loads.candidates([(upstream, self.zone)])
-        return candidate.outstanding
-
     def _on_change(self) -> None:
         self._changed.set()
         for listener in self._listeners:
--- a/magnoliaglade/upstreams/_balancer.py
+++ b/magnoliaglade/upstreams/_balancer.py
@@ -139,6 +139,11 @@
         elif succeeded:
             load.latency_s = known + _LATENCY_WEIGHT * (latency_s - known)
 
+    def outstanding(self, upstream: UpstreamId) -> int:
+        """Returns the requests in flight on an upstream."""
+        load = self._loads.get(upstream)
+        return load.outstanding if load else 0
+
     def candidates(
         self, upstreams: Iterable[tuple[UpstreamId, ZoneId]]
     ) -> list[Candidate]:
