Move the worker and instance list interfaces to instances

Cause: the package platform is needed for the adapter to the users' platform, which holds names, formats and calls only; interfaces that other packages use do not belong there. Change: the package is renamed to instances; nothing else changes. Conclusion: behaviour is unchanged.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -19,7 +19,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import configuration, http, standins
-from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.instances import instance_list as instance_list_lib
 from magnoliaglade.standins import executor, instance_list, store, worker
 from magnoliaglade.types import (
     AccountId,
--- a/benchmarks/_renewals.py
+++ b/benchmarks/_renewals.py
@@ -10,8 +10,8 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import execution, scheduling, standins
 from magnoliaglade.execution import _calls, _gangs, _launch, _renewal
-from magnoliaglade.platform import codec
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import codec
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import AccountId, Epoch, JobId, WorkerId
 
 _DOMAIN = "jobs.z"
--- a/benchmarks/bench_requests.py
+++ b/benchmarks/bench_requests.py
@@ -21,7 +21,7 @@
 
 from benchmarks import _request_model
 from magnoliaglade import configuration, kernel, requests, upstreams
-from magnoliaglade.platform import instance_list
+from magnoliaglade.instances import instance_list
 from magnoliaglade.types import AccountId, InstanceId, RequestId, UpstreamId
 
 SEEDS = (1, 2, 3, 4, 5)
--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -30,8 +30,8 @@
     scheduling,
 )
 from magnoliaglade import store as store_lib
-from magnoliaglade.platform import _http_instance_list, codec
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import _http_instance_list, codec
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.requests import _claim_messages, _claim_table
 from magnoliaglade.types import (
     AccountId,
--- a/magnoliaglade/daemon/_entry.py
+++ b/magnoliaglade/daemon/_entry.py
@@ -16,7 +16,7 @@
     settings,
 )
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import platform as platform_lib
+from magnoliaglade import instances as instances_lib
 from magnoliaglade import store as store_lib
 from magnoliaglade.daemon import (
     _caller_api,
@@ -285,10 +285,10 @@
         )
 
     def _build_jobs(self) -> None:
-        self._list_client = platform_lib.HttpInstanceList(
+        self._list_client = instances_lib.HttpInstanceList(
             url=self.settings.instance_list_url
         )
-        self.inventory = platform_lib.InstanceInventory(
+        self.inventory = instances_lib.InstanceInventory(
             source=self._list_client,
             clock=self.clock,
             poll_s=self.settings.instance_list_poll_s,
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -13,11 +13,11 @@
     peers,
     scheduling,
 )
-from magnoliaglade import platform as platform_lib
+from magnoliaglade import instances as instances_lib
 from magnoliaglade import store as store_lib
 from magnoliaglade.daemon import _worker_states
-from magnoliaglade.platform import instance_list as instance_list_lib
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import instance_list as instance_list_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import AccountId, InstanceId, JobId, WorkerId, ZoneId
 
 
@@ -28,9 +28,9 @@
     do not pile up when workers are replaced every day.
     """
 
-    def __init__(self, *, inventory: platform_lib.InstanceInventory) -> None:
+    def __init__(self, *, inventory: instances_lib.InstanceInventory) -> None:
         self.inventory = inventory
-        self._clients: dict[str, platform_lib.HttpWorker] = {}
+        self._clients: dict[str, instances_lib.HttpWorker] = {}
         self._closing: set[asyncio.Task[None]] = set()
         inventory.on_read(self._drop_departed)
 
@@ -71,10 +71,10 @@
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
 
-    def _client(self, address: str) -> platform_lib.HttpWorker:
+    def _client(self, address: str) -> instances_lib.HttpWorker:
         client = self._clients.get(address)
         if client is None:
-            client = platform_lib.HttpWorker(url=f"http://{address}")
+            client = instances_lib.HttpWorker(url=f"http://{address}")
             self._clients[address] = client
         return client
 
--- a/magnoliaglade/daemon/_requests.py
+++ b/magnoliaglade/daemon/_requests.py
@@ -6,7 +6,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import configuration, membership, peers, requests, upstreams
-from magnoliaglade import platform as platform_lib
+from magnoliaglade import instances as instances_lib
 from magnoliaglade import store as store_lib
 from magnoliaglade.daemon import _configured
 from magnoliaglade.types import InstanceId, ZoneId
@@ -36,7 +36,7 @@
     ownership: store_lib.Ownership
     network: peers.PeerNetwork
     registry: membership.MemberRegistry
-    inventory: platform_lib.InstanceInventory
+    inventory: instances_lib.InstanceInventory
     agent: configuration.ConfigurationAgent
     configured: _configured.ConfiguredValues
     startable_zones: Callable[[], frozenset[ZoneId]]
--- a/magnoliaglade/execution/_attempts.py
+++ b/magnoliaglade/execution/_attempts.py
@@ -22,7 +22,7 @@
     _stopping,
     _takeover,
 )
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, JobId, WorkerId
 
 # Pause before a step is repeated that the owner was not allowed to make.
--- a/magnoliaglade/execution/_calls.py
+++ b/magnoliaglade/execution/_calls.py
@@ -6,7 +6,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import store as store_lib
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, WorkerId
 
 T = TypeVar("T")
--- a/magnoliaglade/execution/_delegate.py
+++ b/magnoliaglade/execution/_delegate.py
@@ -22,7 +22,7 @@
     _records,
     _renewal,
 )
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import (
     AccountId,
     Epoch,
--- a/magnoliaglade/execution/_gangs.py
+++ b/magnoliaglade/execution/_gangs.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from magnoliaglade.execution import _calls, _launch
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import JobId, WorkerId
 
 # A worker that does not answer two renewals in a row has lost its members.
--- a/magnoliaglade/execution/_launch.py
+++ b/magnoliaglade/execution/_launch.py
@@ -14,7 +14,7 @@
 from magnoliaglade import scheduling
 from magnoliaglade import store as store_lib
 from magnoliaglade.execution import _calls, _errors, _journal, _records
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, JobId, WorkerId
 
 # Measured on the worker's clock, so that a delayed commit is rejected.
--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -19,7 +19,7 @@
     _table,
     _term,
 )
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import InstanceId, JobId, ZoneId
 
 # Urgent work starts within 3.2 s, so a decision may wait this long at most.
--- a/magnoliaglade/execution/_renewal.py
+++ b/magnoliaglade/execution/_renewal.py
@@ -4,7 +4,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.execution import _calls, _gangs, _launch
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, JobId, WorkerId
 
 # Two lost renewals are tolerated by a lease of 20 s with 5 s to spare.
--- a/magnoliaglade/execution/_stopping.py
+++ b/magnoliaglade/execution/_stopping.py
@@ -5,7 +5,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.execution import _calls, _gangs, _launch
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, WorkerId
 
 # Pause between two attempts to stop a member on a worker that is not reached.
--- a/magnoliaglade/execution/_takeover.py
+++ b/magnoliaglade/execution/_takeover.py
@@ -4,7 +4,7 @@
 
 from magnoliaglade import scheduling
 from magnoliaglade.execution import _gangs, _launch, _records, _table
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import AccountId, JobId, WorkerId
 
 Reports = dict[WorkerId, worker_lib.WorkerReport]
--- a/magnoliaglade/execution/_term.py
+++ b/magnoliaglade/execution/_term.py
@@ -18,7 +18,7 @@
     _records,
     _takeover,
 )
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import JobId, WorkerId, ZoneId
 
 # Slots written since the last snapshot; bounds the time of a takeover.
--- a/magnoliaglade/execution/tests/harness.py
+++ b/magnoliaglade/execution/tests/harness.py
@@ -5,7 +5,7 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import execution, scheduling, standins
 from magnoliaglade import store as store_lib
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import AccountId, InstanceId, JobId, WorkerId, ZoneId
 
 ZONE = ZoneId("z")
--- /dev/null
+++ b/magnoliaglade/instances/__init__.py
@@ -0,0 +1,19 @@
+"""Interfaces to the platform's workers and instance list, and HTTP clients."""
+
+from magnoliaglade.instances import codec, instance_list, worker
+from magnoliaglade.instances._http_instance_list import (
+    HttpInstanceList,
+    decode_listed,
+)
+from magnoliaglade.instances._http_worker import HttpWorker
+from magnoliaglade.instances._inventory import InstanceInventory
+
+__all__ = [
+    "HttpInstanceList",
+    "HttpWorker",
+    "InstanceInventory",
+    "codec",
+    "decode_listed",
+    "instance_list",
+    "worker",
+]
--- a/magnoliaglade/platform/_http_instance_list.py
+++ b/magnoliaglade/instances/_http_instance_list.py
@@ -6,12 +6,12 @@
 from typing import Any
 
 from magnoliaglade import base, http
-from magnoliaglade.platform import instance_list
+from magnoliaglade.instances import instance_list
 from magnoliaglade.types import InstanceId, RackId, ZoneId
 
 
 class HttpInstanceList(base.Component):
-    """See `platform.instance_list.InstanceList`."""
+    """See `instances.instance_list.InstanceList`."""
 
     def __init__(self, *, url: str, timeout_s: float = 2.0) -> None:
         self.url = url
--- a/magnoliaglade/platform/_http_worker.py
+++ b/magnoliaglade/instances/_http_worker.py
@@ -10,7 +10,7 @@
 import msgpack
 
 from magnoliaglade import http
-from magnoliaglade.platform import codec, worker
+from magnoliaglade.instances import codec, worker
 from magnoliaglade.types import Epoch
 
 CALL_TIMEOUT_S = 1.0
@@ -19,7 +19,7 @@
 
 
 class HttpWorker:
-    """See `platform.worker.WorkerClient`."""
+    """See `instances.worker.WorkerClient`."""
 
     def __init__(self, *, url: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
         self.url = url
--- a/magnoliaglade/platform/_inventory.py
+++ b/magnoliaglade/instances/_inventory.py
@@ -7,7 +7,7 @@
 
 from magnoliaglade import base
 from magnoliaglade import clock as clock_lib
-from magnoliaglade.platform import instance_list
+from magnoliaglade.instances import instance_list
 from magnoliaglade.types import InstanceId
 
 POLL_S = 1.0
--- a/magnoliaglade/platform/codec.py
+++ b/magnoliaglade/instances/codec.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import Any
 
-from magnoliaglade.platform import worker
+from magnoliaglade.instances import worker
 
 __all__ = ["CodecError", "decode_report", "decode_request", "encode"]
 
--- a/magnoliaglade/platform/tests/test_instance_list.py
+++ b/magnoliaglade/instances/tests/test_instance_list.py
@@ -1,8 +1,8 @@
 """Tests of the instance list's client and of the polled inventory."""
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import platform as platform_lib
-from magnoliaglade.platform import instance_list
+from magnoliaglade import instances as instances_lib
+from magnoliaglade.instances import instance_list
 from magnoliaglade.standins import instance_list as standin
 from magnoliaglade.types import InstanceId, ZoneId
 
@@ -21,7 +21,7 @@
         """Guards against decoding thousands of instances in each poll."""
         server = standin.InstanceListServer(clock=clock_lib.SystemClock())
         await server.start()
-        client = platform_lib.HttpInstanceList(url=server.url)
+        client = instances_lib.HttpInstanceList(url=server.url)
         await client.start()
         try:
             server.put(listed("a"))
@@ -47,7 +47,7 @@
         source = standin.InstanceListServer(clock=clock)
         source.put(listed("a"))
         source.put(listed("b"))
-        inventory = platform_lib.InstanceInventory(source=source, clock=clock)
+        inventory = instances_lib.InstanceInventory(source=source, clock=clock)
         await inventory.start()
         assert inventory.find(InstanceId("a")) == listed("a")
         source.put(listed("a", address="127.0.0.1:2"))
--- a/magnoliaglade/requests/_dispatch.py
+++ b/magnoliaglade/requests/_dispatch.py
@@ -15,7 +15,7 @@
 from magnoliaglade import base as root_base
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import kernel, membership, peers, upstreams
-from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.instances import instance_list as instance_list_lib
 from magnoliaglade.requests import _errors, base
 from magnoliaglade.types import UpstreamId, ZoneId
 
--- a/magnoliaglade/standins/_worker.py
+++ b/magnoliaglade/standins/_worker.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, JobId, TaskId, WorkerId
 
 # Ended tasks are reported until the owner releases them, at most this long.
--- a/magnoliaglade/standins/_worker_link.py
+++ b/magnoliaglade/standins/_worker_link.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 
 
 class WorkerLink:
--- a/magnoliaglade/standins/deployment.py
+++ b/magnoliaglade/standins/deployment.py
@@ -11,7 +11,7 @@
 
 from magnoliaglade import base, configuration, daemon, http, settings
 from magnoliaglade import clock as clock_lib
-from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.instances import instance_list as instance_list_lib
 from magnoliaglade.standins import (
     _worker,
     executor,
--- a/magnoliaglade/standins/instance_list.py
+++ b/magnoliaglade/standins/instance_list.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform's instance list over HTTP.
 
 `GET /v1/instances` answers `{"instances": [...]}` with the fields of
-`platform.instance_list.ListedInstance`. A change appears only `lag_s` seconds
+`instances.instance_list.ListedInstance`. A change appears only `lag_s` seconds
 after it was made.
 """
 
@@ -13,8 +13,8 @@
 import blacksheep
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import http, platform
-from magnoliaglade.platform import instance_list
+from magnoliaglade import http, instances
+from magnoliaglade.instances import instance_list
 from magnoliaglade.standins import _server
 from magnoliaglade.types import InstanceId
 
@@ -74,7 +74,7 @@
     async def _post(self, request: blacksheep.Request) -> blacksheep.Response:
         body = await http.read_body(request, max_bytes=_MAX_BODY_BYTES)
         try:
-            self.put(platform.decode_listed(json.loads(body)))
+            self.put(instances.decode_listed(json.loads(body)))
         except (KeyError, TypeError, ValueError) as error:
             return http.json_response(400, {"reason": repr(error)})
         return http.json_response(200, {})
--- a/magnoliaglade/standins/tests/test_worker.py
+++ b/magnoliaglade/standins/tests/test_worker.py
@@ -4,7 +4,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import standins
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import Epoch, JobId, WorkerId
 
 
--- a/magnoliaglade/standins/worker.py
+++ b/magnoliaglade/standins/worker.py
@@ -1,6 +1,6 @@
 """Stand-in of a worker over HTTP.
 
-Serves any `platform.worker.WorkerClient`, one `POST /v1/<call>` for each of
+Serves any `instances.worker.WorkerClient`, one `POST /v1/<call>` for each of
 its methods with msgpack bodies; 409 stands for a refusal and 412 for a stale
 epoch.
 """
@@ -12,7 +12,7 @@
 import msgpack
 
 from magnoliaglade import http
-from magnoliaglade.platform import codec, worker
+from magnoliaglade.instances import codec, worker
 from magnoliaglade.standins import _server
 
 __all__ = ["WorkerServer"]
--- a/magnoliaglade/upstreams/_directory.py
+++ b/magnoliaglade/upstreams/_directory.py
@@ -8,7 +8,7 @@
 
 from magnoliaglade import base
 from magnoliaglade import clock as clock_lib
-from magnoliaglade.platform import instance_list as instance_list_lib
+from magnoliaglade.instances import instance_list as instance_list_lib
 from magnoliaglade.types import UpstreamId, ZoneId
 from magnoliaglade.upstreams import _connection, _errors
 
--- a/magnoliaglade/upstreams/tests/test_balancing.py
+++ b/magnoliaglade/upstreams/tests/test_balancing.py
@@ -7,7 +7,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import kernel, upstreams
-from magnoliaglade.platform import instance_list
+from magnoliaglade.instances import instance_list
 from magnoliaglade.types import InstanceId, RequestId, UpstreamId, ZoneId
 
 A, B = ZoneId("a"), ZoneId("b")
--- a/tests/matrix/jobs.py
+++ b/tests/matrix/jobs.py
@@ -11,7 +11,7 @@
 from magnoliaglade.daemon import _worker_states
 from magnoliaglade.execution.tests import harness
 from magnoliaglade.faults import Fault, Promise
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.types import AccountId
 from tests.matrix import table
 
--- a/tests/matrix/test_steps.py
+++ b/tests/matrix/test_steps.py
@@ -5,7 +5,7 @@
 from magnoliaglade import configuration, daemon, execution, peers, requests
 from magnoliaglade.configuration import _messages
 from magnoliaglade.execution import _records
-from magnoliaglade.platform import worker as worker_lib
+from magnoliaglade.instances import worker as worker_lib
 from magnoliaglade.requests import _claim_messages
 from tests.matrix import claims, jobs, settings, shutdown
 
