--- a/magnoliaglade/cli/_main.py
+++ b/magnoliaglade/cli/_main.py
@@ -1,21 +1,54 @@
-"""The top-level command."""
+"""The top-level command; subcommands are imported when they are used."""
+
+import importlib
+from typing import Any
 
 import click
 
 import magnoliaglade
-from magnoliaglade.cli import (
-    _configuration,
-    _demo,
-    _jobs,
-    _operations,
-    _processes,
-)
+
+# Module and attribute of each command. An instance that only serves does not
+# load what the other commands need.
+_COMMANDS = {
+    "account": ("_operations", "account"),
+    "config": ("_configuration", "config"),
+    "demo": ("_demo", "demo"),
+    "entry": ("_processes", "entry"),
+    "job": ("_jobs", "job"),
+    "questionnaire": ("_configuration", "questionnaire"),
+    "request": ("_jobs", "request"),
+    "serve": ("_serve", "serve"),
+    "settings": ("_processes", "settings_group"),
+    "standin": ("_processes", "standin"),
+    "state": ("_operations", "state"),
+    "upstreams": ("_operations", "upstreams"),
+    "zone": ("_operations", "zone"),
+}
+
+
+class _LazyGroup(click.Group):
+    """Imports a subcommand's module on first use."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Returns the names of all commands."""
+        return sorted(_COMMANDS)
+
+    def get_command(
+        self, ctx: click.Context, cmd_name: str
+    ) -> click.Command | None:
+        """Imports a command."""
+        found = _COMMANDS.get(cmd_name)
+        if found is None:
+            return None
+        module = importlib.import_module(f"magnoliaglade.cli.{found[0]}")
+        command: Any = getattr(module, found[1])
+        return command
 
 
-@click.group()
+@click.group(cls=_LazyGroup)
 @click.version_option(magnoliaglade.__version__)
 def main() -> None:
-    r"""Schedule jobs and requests under client account guarantees.
+    """Schedule jobs and requests under client account guarantees.
 
     \b
     First steps:
@@ -23,6 +56,7 @@
       magnoliaglade questionnaire             answer questions about your work
       magnoliaglade config check answers.yaml check the answers
       magnoliaglade entry entry.yaml          run an entry instance
+      magnoliaglade serve                     run an instance on the platform
       magnoliaglade config apply answers.yaml make the configuration current
       magnoliaglade job submit job.yaml       submit a job
 
@@ -34,21 +68,4 @@
       3  outcome unknown
       4  not reached; nothing was run
       5  another operator's change came first
-    """
-
-
-for command in (
-    _demo.demo,
-    _configuration.questionnaire,
-    _configuration.config,
-    _processes.settings_group,
-    _processes.entry,
-    _processes.standin,
-    _operations.zone,
-    _operations.account,
-    _operations.upstreams,
-    _operations.state,
-    _jobs.job,
-    _jobs.request,
-):
-    main.add_command(command)
+    """  # noqa: D301
--- a/magnoliaglade/clock/_clock.py
+++ b/magnoliaglade/clock/_clock.py
@@ -10,6 +10,8 @@
 
 T = TypeVar("T")
 
+# Not every system has a clock that counts suspended time.
+_MONOTONIC_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 # Loop passes after each virtual wake-up, so that woken tasks run until they
 # wait on the clock or on another task again.
 _SETTLE_PASSES = 20
@@ -54,8 +56,11 @@
     """The operating system's clocks."""
 
     def now(self) -> float:
-        """Returns the monotonic clock."""
-        return time.monotonic()
+        """Returns the monotonic clock, which counts suspended time too.
+
+        A lease goes on running while its holder's machine is suspended.
+        """
+        return time.clock_gettime(_MONOTONIC_CLOCK)
 
     def time(self) -> float:
         """Returns the wall clock."""
--- /dev/null
+++ b/magnoliaglade/coordinator/__init__.py
@@ -0,0 +1,15 @@
+"""The coordinator: one elected instance places all jobs on the workers."""
+
+from magnoliaglade.coordinator._coordinator import Coordinator, Timings
+from magnoliaglade.coordinator._election import Election
+from magnoliaglade.coordinator._journal import CoordinatorLostError, Journal
+from magnoliaglade.coordinator._snapshot import RunTimes
+
+__all__ = [
+    "Coordinator",
+    "CoordinatorLostError",
+    "Election",
+    "Journal",
+    "RunTimes",
+    "Timings",
+]
--- /dev/null
+++ b/magnoliaglade/coordinator/_election.py
@@ -0,0 +1,198 @@
+"""Decides which instance is the coordinator: a key under a store lease.
+
+The revision that created the key is the epoch: the store's revisions only
+rise, so every later coordinator has a higher one.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from magnoliaglade import base, observability
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import store as store_lib
+from magnoliaglade.jobs import keys
+from magnoliaglade.types import Epoch, InstanceId, LeaseId
+
+# Life of the coordinator's lease without renewal, in seconds. A coordinator
+# that dies is replaced after this; leases of runs last three times as long.
+LEASE_TTL_S = 2.0
+RENEW_S = 0.5
+# Longest wait of a watch on the coordinator's key.
+WATCH_S = 3.0
+# Instances that see the key vanish try at random times within this.
+SPREAD_S = 0.05
+
+Term = Callable[[Epoch], Awaitable[None]]
+
+
+class Election(base.Component):
+    """Runs `term` while this instance is the coordinator.
+
+    Attributes:
+        instance: id of this instance.
+        incarnation: distinguishes processes of the same instance.
+        term: runs the coordinator for an epoch until it is cancelled, or
+            returns when it has lost its place.
+        random: source of the spread.
+    """
+
+    _parameter_constraints = {
+        "ttl_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "renew_s": [base.Interval(kind=float, low=0, low_open=True)],
+    }
+
+    def __init__(
+        self,
+        *,
+        store: store_lib.TransactionalStore,
+        clock: clock_lib.Clock,
+        instance: InstanceId,
+        incarnation: str,
+        term: Term,
+        random: random.Random,
+        ttl_s: float = LEASE_TTL_S,
+        renew_s: float = RENEW_S,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.instance = instance
+        self.incarnation = incarnation
+        self.term = term
+        self.random = random
+        self.ttl_s = ttl_s
+        self.renew_s = renew_s
+        self.epoch: Epoch | None = None
+        self.confirmed_at_s = float("-inf")
+        self._lease: LeaseId | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._watcher = store_lib.PrefixWatcher(
+            store=store,
+            clock=clock,
+            prefix=keys.COORDINATOR_KEY,
+            wait_s=WATCH_S,
+        )
+
+    @property
+    def unconfirmed_s(self) -> float:
+        """Seconds since the store last confirmed this coordinator."""
+        return self.clock.now() - self.confirmed_at_s
+
+    async def start(self) -> None:
+        """Stands for election in the background."""
+        self.validate_params()
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Gives the coordinator's place up."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns epoch and age of the last confirmation."""
+        return {
+            "epoch": self.epoch,
+            "unconfirmed_s": round(min(self.unconfirmed_s, 1e6), 3),
+        }
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._await_vacancy()
+                epoch = await self._acquire()
+            except store_lib.StoreError:
+                await self.clock.sleep(self.renew_s)
+                continue
+            if epoch is not None:
+                await self._serve(epoch)
+
+    async def _await_vacancy(self) -> None:
+        """Returns when nobody holds the key."""
+        if not self._watcher.is_loaded:
+            await self._watcher.reload()
+        while keys.COORDINATOR_KEY in self._watcher.entries:
+            await self._watcher.step()
+        await self.clock.sleep(self.random.uniform(0.0, SPREAD_S))
+
+    async def _acquire(self) -> Epoch | None:
+        """Creates the key; returns None if another instance was first."""
+        sent_s = self.clock.now()
+        self._lease = await self.store.grant_lease(self.ttl_s)
+        value = f"{self.instance}/{self.incarnation}/{self._lease}".encode()
+        try:
+            revision = await self.store.put(
+                keys.COORDINATOR_KEY, value, expected=0, lease=self._lease
+            )
+        except store_lib.ConflictError:
+            revision = 0
+        except store_lib.StoreUnknownError:
+            entry = await self.store.get(keys.COORDINATOR_KEY)
+            is_mine = entry is not None and entry.value == value
+            revision = entry.revision if entry and is_mine else 0
+        await self._watcher.reload()
+        if not revision:
+            await self._end_lease()
+            return None
+        self.confirmed_at_s = sent_s
+        return Epoch(revision)
+
+    async def _serve(self, epoch: Epoch) -> None:
+        self.epoch = epoch
+        observability.log_event("coordinator", state="acquired", epoch=epoch)
+        term = asyncio.ensure_future(self.term(epoch))
+        renewal = asyncio.ensure_future(self._renew())
+        reason = "lost"
+        try:
+            await asyncio.wait(
+                {term, renewal}, return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            reason = "released"
+            raise
+        finally:
+            renewal.cancel()
+            term.cancel()
+            results = await asyncio.gather(
+                term, renewal, return_exceptions=True
+            )
+            self.epoch = None
+            observability.log_event(
+                "coordinator",
+                state=reason,
+                epoch=epoch,
+                causes=[repr(r) for r in results if r is not None],
+            )
+            await self._end_lease()
+
+    async def _renew(self) -> None:
+        """Renews the lease; returns when the store has ended it."""
+        while self._lease is not None:
+            await self.clock.sleep(self.renew_s)
+            sent_s = self.clock.now()
+            try:
+                await self.store.renew_lease(self._lease)
+            except store_lib.LeaseLostError:
+                return
+            except store_lib.StoreError as error:
+                observability.log_event(
+                    "coordinator",
+                    state="renewal unanswered",
+                    unconfirmed_s=round(self.unconfirmed_s, 3),
+                    reason=str(error),
+                )
+                continue
+            self.confirmed_at_s = sent_s
+
+    async def _end_lease(self) -> None:
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self.store.revoke_lease(lease)
+        except store_lib.StoreError as error:
+            # It ends by itself.
+            observability.log_event(
+                "coordinator", state="lease not ended", reason=str(error)
+            )
--- /dev/null
+++ b/magnoliaglade/coordinator/_link.py
@@ -0,0 +1,228 @@
+"""The coordinator's link to one worker: observes it and renews its lease."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import fleet, observability
+from magnoliaglade.fleet import ListedWorker, WorkerReport
+from magnoliaglade.types import Epoch, Lifetime, WorkerId
+
+# Longest wait of one look at a worker that runs tasks, in seconds. Progress is
+# seen at this interval; ends are seen at once.
+BUSY_WAIT_S = 1.0
+# The same for a worker that runs nothing.
+IDLE_WAIT_S = 2.0
+# A worker that has not answered for this long gets no new tasks.
+SILENT_AFTER_S = 3.2
+# Pause after a call that failed.
+RETRY_S = 0.3
+# Time for storing ends before they are acknowledged with the next look.
+STORE_WAIT_S = 0.5
+# Time for which a worker that refused an order gets no tasks.
+COOLDOWN_S = 1.0
+# Orders may be carried out this long after they were sent.
+LATE_ORDER_S = 13.0
+# Allowance when a lease is taken to have ended.
+LEASE_MARGIN_S = 0.1
+
+
+class LinkOwner(Protocol):
+    """What a link needs of the coordinator."""
+
+    epoch: Epoch
+
+    def may_renew(self) -> bool:
+        """Tells whether leases may still be renewed."""
+
+    def is_busy(self, worker: WorkerId) -> bool:
+        """Tells whether a worker has, or may have, runs."""
+
+    def handle_report(
+        self, link: "WorkerLink", report: WorkerReport, requested_at_s: float
+    ) -> int:
+        """Applies a report; returns the journal position of its ends."""
+
+    async def wait_stored(self, position: int, *, timeout_s: float) -> bool:
+        """Waits until a journal position is stored."""
+
+    def fenced(self, link: "WorkerLink") -> None:
+        """Takes note that a worker obeys a later coordinator."""
+
+
+class WorkerLink:
+    """Looks at one worker in a loop, each look waiting for ends.
+
+    Attributes:
+        listed: the worker as last listed.
+        is_listed: whether it is on the list now.
+        lease: bound on the end of its lease.
+        handled_end: number of the last end that was applied.
+    """
+
+    def __init__(
+        self,
+        *,
+        listed: ListedWorker,
+        owner: LinkOwner,
+        clock: clock_lib.Clock,
+        connect: Callable[[ListedWorker], fleet.WorkerClient],
+        lease: fleet.LeaseBound,
+    ) -> None:
+        self.listed = listed
+        self.owner = owner
+        self.clock = clock
+        self.lease = lease
+        self.is_listed = True
+        self.handled_end = 0
+        self.lifetime = listed.lifetime
+        self.client = connect(listed)
+        self.reported_at_s = float("-inf")
+        self.cooldown_until_s = float("-inf")
+        self.leaves_at_s = float("inf")
+        self._connect = connect
+        self._outdated: list[fleet.WorkerClient] = []
+        self._acknowledged = 0
+        self._pending: tuple[int, int] = (0, 0)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def worker(self) -> WorkerId:
+        """Id of the worker."""
+        return self.listed.worker
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the worker has answered recently."""
+        silent_s = self.clock.now() - self.reported_at_s
+        return silent_s <= SILENT_AFTER_S and self.lease.is_synchronized
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the worker may be given tasks."""
+        return (
+            self.is_listed
+            and not self.listed.is_draining
+            and self.is_answering
+            and self.clock.now() >= self.cooldown_until_s
+            and self.lifetime == self.listed.lifetime
+        )
+
+    def start(self) -> None:
+        """Begins to look at the worker."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops looking and closes the connections."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._close_outdated()
+        await self.client.close()
+
+    def cool_down(self) -> None:
+        """Keeps new tasks away for a while."""
+        self.cooldown_until_s = self.clock.now() + COOLDOWN_S
+
+    def update(self, listed: ListedWorker) -> None:
+        """Takes a newer entry of the list."""
+        if listed.address != self.listed.address:
+            observability.log_event("worker", state="moved", worker=self.worker)
+            self._outdated.append(self.client)
+            self.client = self._connect(listed)
+        if listed.is_draining:
+            leaves_at_s = self.clock.now() + listed.leaves_in_s
+            self.leaves_at_s = min(self.leaves_at_s, leaves_at_s)
+        self.listed = listed
+        self.is_listed = True
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what is known of the worker."""
+        return {
+            "zone": self.listed.zone,
+            "open": self.is_open,
+            "listed": self.is_listed,
+            "draining": self.listed.is_draining,
+            "silent_s": round(self.clock.now() - self.reported_at_s, 3),
+        }
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._look()
+            except fleet.WorkerFencedError:
+                self.owner.fenced(self)
+                await self.clock.sleep(RETRY_S)
+            except fleet.FleetError:
+                await self.clock.sleep(RETRY_S)
+
+    async def _close_outdated(self) -> None:
+        while self._outdated:
+            await self._outdated.pop().close()
+
+    async def _look(self) -> None:
+        await self._close_outdated()
+        position, number = self._pending
+        if number > self._acknowledged:
+            is_stored = await self.owner.wait_stored(
+                position, timeout_s=STORE_WAIT_S
+            )
+            if is_stored:
+                self._acknowledged = number
+        requested_at_s = self.clock.now()
+        report = await self.client.observe(
+            epoch=self.owner.epoch,
+            acknowledged=self._acknowledged,
+            lease_until_ms=self._lease_until_ms(requested_at_s),
+            wait_s=self._wait_s(number),
+        )
+        self._note_answer(report)
+        position = self.owner.handle_report(self, report, requested_at_s)
+        if report.ended:
+            self.handled_end = max(self.handled_end, report.ended[-1].number)
+            self._pending = (position, self.handled_end)
+
+    def _note_answer(self, report: WorkerReport) -> None:
+        now_s = self.clock.now()
+        was_answering = self.is_answering
+        if report.lifetime != self.lifetime:
+            self._replace(report.lifetime)
+        self.lease.observe_clock(report.clock_ms, now_s=now_s)
+        self.reported_at_s = now_s
+        if not was_answering:
+            observability.log_event(
+                "worker",
+                state="answers",
+                worker=self.worker,
+                lifetime=self.lifetime,
+            )
+
+    def _replace(self, lifetime: Lifetime) -> None:
+        observability.log_event(
+            "worker",
+            state="restarted",
+            worker=self.worker,
+            before=self.lifetime,
+            now=lifetime,
+        )
+        self.lifetime = lifetime
+        self.handled_end = 0
+        self._acknowledged = 0
+        self._pending = (0, 0)
+        self.leaves_at_s = float("inf")
+        self.lease.forget_clock()
+
+    def _lease_until_ms(self, now_s: float) -> int | None:
+        if not self.owner.may_renew():
+            return None
+        return self.lease.next_until_ms(now_s, self.lease.longest_s)
+
+    def _wait_s(self, pending_number: int) -> float:
+        if not self.lease.is_synchronized:
+            return 0.0
+        if pending_number > self._acknowledged:
+            return 0.0
+        if self.owner.is_busy(self.worker):
+            return BUSY_WAIT_S
+        return IDLE_WAIT_S
--- /dev/null
+++ b/magnoliaglade/coordinator/_orders.py
@@ -0,0 +1,234 @@
+"""Sends orders to workers and notes what became of them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import fleet, observability
+from magnoliaglade.coordinator._link import RETRY_S, WorkerLink
+from magnoliaglade.coordinator._table import JobTable
+from magnoliaglade.fleet import OrderOutcome
+from magnoliaglade.jobs import (
+    Attempt,
+    AttemptState,
+    JobProgress,
+    RunOutcome,
+    TaskKey,
+)
+from magnoliaglade.types import Epoch, WorkerId
+
+# Outcomes of a start after which the run is surely not there.
+_NOT_STARTED = frozenset(
+    {
+        OrderOutcome.LATE,
+        OrderOutcome.NO_ROOM,
+        OrderOutcome.INVALID,
+        OrderOutcome.UNHEALTHY,
+    }
+)
+
+
+class OrderSender:
+    """Sends starts and stops; each runs as a task of its own.
+
+    Attributes:
+        table: the jobs.
+        links: links by worker.
+        clock: source of time.
+        epoch: epoch of the coordinator.
+        on_end: called with job, task, run and outcome when a run is known not
+            to exist.
+        on_fenced: called when a worker obeys a later coordinator.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: JobTable,
+        links: dict[WorkerId, WorkerLink],
+        clock: clock_lib.Clock,
+        epoch: Epoch,
+        on_end: Callable[[JobProgress, TaskKey, int, RunOutcome], None],
+        on_fenced: Callable[[WorkerLink], None],
+    ) -> None:
+        self.table = table
+        self.links = links
+        self.clock = clock
+        self.epoch = epoch
+        self.on_end = on_end
+        self.on_fenced = on_fenced
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping: set[tuple[str, int, WorkerId]] = set()
+
+    def send_start(
+        self, progress: JobProgress, key: TaskKey, attempt: Attempt
+    ) -> None:
+        """Orders the start of a planned run that is stored."""
+        self._spawn(self._start(progress, key, attempt))
+
+    def send_stop(
+        self, progress: JobProgress, key: TaskKey, attempt: Attempt
+    ) -> None:
+        """Orders a run to stop until the worker has answered."""
+        if attempt.state is AttemptState.PLANNED:
+            self.on_end(progress, key, attempt.run, RunOutcome.STOPPED)
+            return
+        attempt.state = AttemptState.STOPPING
+        task = progress.job.task_name(key)
+        mark = (task, attempt.run, attempt.worker)
+        if mark not in self._stopping:
+            self._stopping.add(mark)
+            self._spawn(self._stop(progress, key, attempt, mark))
+
+    def stop_stray(self, link: WorkerLink, *, task: str, run: int) -> None:
+        """Orders a run to stop that nobody expects."""
+        mark = (task, run, link.worker)
+        if mark not in self._stopping:
+            self._stopping.add(mark)
+            self._spawn(self._stop_stray(link, task, run, mark))
+
+    async def close(self) -> None:
+        """Abandons all orders in flight."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start(
+        self, progress: JobProgress, key: TaskKey, attempt: Attempt
+    ) -> None:
+        link = self.links.get(attempt.worker)
+        until_ms = self._lease_until_ms(link, attempt)
+        if link is None or until_ms is None:
+            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+            return
+        attempt.state = AttemptState.SENT
+        order = fleet.StartOrder(
+            task=progress.job.task_name(key),
+            run=attempt.run,
+            payload=progress.job.spec.payload,
+            lease_until_ms=until_ms,
+            epoch=self.epoch,
+            checkpoint=progress.checkpoint_of(key),
+        )
+        try:
+            reply = await link.client.start(order)
+        except (fleet.WorkerNotReachedError, fleet.WorkerReplacedError) as e:
+            link.cool_down()
+            _log_order(order, link, repr(e))
+            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+            return
+        except fleet.FleetError as error:
+            # The next report tells whether the run is there.
+            attempt.answered_by_s = self.clock.now()
+            link.cool_down()
+            _log_order(order, link, repr(error))
+            return
+        self._note_start(progress, key, attempt, link, order, reply)
+
+    def _lease_until_ms(
+        self, link: WorkerLink | None, attempt: Attempt
+    ) -> int | None:
+        if link is None or link.lifetime != attempt.lifetime:
+            return None
+        return link.lease.next_until_ms(self.clock.now(), link.lease.longest_s)
+
+    def _note_start(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        link: WorkerLink,
+        order: fleet.StartOrder,
+        reply: fleet.OrderReply,
+    ) -> None:
+        _log_order(order, link, reply.outcome.value)
+        if reply.outcome is OrderOutcome.FENCED:
+            self.on_fenced(link)
+            return
+        attempt.settled_at_s = self.clock.now()
+        if reply.outcome in _NOT_STARTED:
+            link.cool_down()
+            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+        elif (
+            reply.outcome is OrderOutcome.DONE
+            and attempt.state is AttemptState.SENT
+        ):
+            attempt.state = AttemptState.RUNNING
+            attempt.percent_at_s = self.clock.now()
+
+    async def _stop(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        mark: tuple[str, int, WorkerId],
+    ) -> None:
+        """Repeats a stop until it is answered or the run has ended."""
+        try:
+            while _is_current(progress, key, attempt):
+                link = self.links.get(attempt.worker)
+                if link and await self._try_stop(link, *mark[:2]):
+                    attempt.settled_at_s = self.clock.now()
+                    return
+                await self.clock.sleep(RETRY_S)
+        finally:
+            self._stopping.discard(mark)
+
+    async def _stop_stray(
+        self,
+        link: WorkerLink,
+        task: str,
+        run: int,
+        mark: tuple[str, int, WorkerId],
+    ) -> None:
+        try:
+            await self._try_stop(link, task, run)
+        finally:
+            self._stopping.discard(mark)
+
+    async def _try_stop(self, link: WorkerLink, task: str, run: int) -> bool:
+        try:
+            reply = await link.client.stop(task=task, run=run, epoch=self.epoch)
+        except fleet.FleetError as error:
+            observability.log_event(
+                "stop",
+                task=task,
+                run=run,
+                worker=link.worker,
+                outcome=repr(error),
+            )
+            return False
+        observability.log_event(
+            "stop",
+            task=task,
+            run=run,
+            worker=link.worker,
+            outcome=reply.outcome.value,
+        )
+        if reply.outcome is OrderOutcome.FENCED:
+            self.on_fenced(link)
+            return False
+        return reply.outcome is not OrderOutcome.UNHEALTHY
+
+
+def _is_current(progress: JobProgress, key: TaskKey, attempt: Attempt) -> bool:
+    task = progress.task(key)
+    return task is not None and task.attempt is attempt
+
+
+def _log_order(order: fleet.StartOrder, link: WorkerLink, outcome: str) -> None:
+    observability.log_event(
+        "start",
+        task=order.task,
+        run=order.run,
+        worker=link.worker,
+        outcome=outcome,
+        epoch=order.epoch,
+        has_checkpoint=bool(order.checkpoint),
+    )
--- /dev/null
+++ b/magnoliaglade/coordinator/_reconcile.py
@@ -0,0 +1,132 @@
+"""What a worker's report says about the runs that are expected on it.
+
+Pure. Orders may be carried out seconds late and answers may be lost, so a run
+that is missing from a report counts as ended only if its order is settled: it
+was answered, or stopped, or is of an epoch that the worker no longer obeys.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from magnoliaglade.fleet import RunEnd, RunStatus, WorkerReport
+from magnoliaglade.jobs import TaskKey, parse_task_name
+from magnoliaglade.types import JobId, Lifetime
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Expected:
+    """A run that may be on the worker.
+
+    Attributes:
+        job: the job.
+        key: the task.
+        run: number of the run.
+        lifetime: lifetime of the worker that the order was for.
+        settled_at_s: since when the order can no longer start the run
+            unseen; None while it may.
+        is_sent: the order has left.
+    """
+
+    job: JobId
+    key: TaskKey
+    run: int
+    lifetime: Lifetime
+    settled_at_s: float | None
+    is_sent: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Findings:
+    """What follows from a report.
+
+    Attributes:
+        ended: ends of expected runs.
+        present: expected runs that are on the worker, with their status.
+        lost: expected runs that are not there and cannot appear.
+        unsettled: expected runs that are not there but might appear.
+        strays: runs on the worker that nobody expects.
+    """
+
+    ended: tuple[tuple[Expected, RunEnd], ...]
+    present: tuple[tuple[Expected, RunStatus], ...]
+    lost: tuple[Expected, ...]
+    unsettled: tuple[Expected, ...]
+    strays: tuple[RunStatus, ...]
+
+
+def reconcile(
+    expected: list[Expected],
+    report: WorkerReport,
+    *,
+    requested_at_s: float,
+    handled_end: int,
+) -> Findings:
+    """Compares a report with what is expected.
+
+    Args:
+        expected: runs that may be on the worker.
+        report: what the worker said.
+        requested_at_s: when the report was asked for.
+        handled_end: number of the last end that was handled before.
+    """
+    by_name = {(str(e.job), e.key, e.run): e for e in expected}
+    ended = _match_ends(by_name, report, handled_end)
+    present, strays = _match_running(by_name, report)
+    seen = {id(e) for e, _ in ended} | {id(e) for e, _ in present}
+    lost: list[Expected] = []
+    unsettled: list[Expected] = []
+    for item in expected:
+        if id(item) in seen or not item.is_sent or not report.is_complete:
+            continue
+        is_replaced = item.lifetime != report.lifetime
+        is_settled = (
+            item.settled_at_s is not None and item.settled_at_s < requested_at_s
+        )
+        if is_settled or (is_replaced and item.settled_at_s is not None):
+            lost.append(item)
+        elif item.settled_at_s is None:
+            unsettled.append(item)
+    return Findings(
+        ended=tuple(ended),
+        present=tuple(present),
+        lost=tuple(lost),
+        unsettled=tuple(unsettled),
+        strays=tuple(strays),
+    )
+
+
+def _match_ends(
+    by_name: Mapping[tuple[str, TaskKey, int], Expected],
+    report: WorkerReport,
+    handled_end: int,
+) -> list[tuple[Expected, RunEnd]]:
+    found: list[tuple[Expected, RunEnd]] = []
+    for end in report.ended:
+        item = _find(by_name, end.task, end.run)
+        if item is not None and end.number > handled_end:
+            found.append((item, end))
+    return found
+
+
+def _match_running(
+    by_name: Mapping[tuple[str, TaskKey, int], Expected], report: WorkerReport
+) -> tuple[list[tuple[Expected, RunStatus]], list[RunStatus]]:
+    present: list[tuple[Expected, RunStatus]] = []
+    strays: list[RunStatus] = []
+    for status in report.running:
+        item = _find(by_name, status.task, status.run)
+        if item is None:
+            strays.append(status)
+        else:
+            present.append((item, status))
+    return present, strays
+
+
+def _find(
+    by_name: Mapping[tuple[str, TaskKey, int], Expected], task: str, run: int
+) -> Expected | None:
+    parsed = parse_task_name(task)
+    if parsed is None:
+        return None
+    job, key = parsed
+    return by_name.get((str(job), key, run))
--- /dev/null
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -0,0 +1,227 @@
+"""Builds the snapshot that placement decides on from the current state."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from magnoliaglade.coordinator._link import WorkerLink
+from magnoliaglade.coordinator._table import JobTable
+from magnoliaglade.jobs import (
+    AttemptState,
+    JobProgress,
+    StepKey,
+    StepSpec,
+    TaskKey,
+)
+from magnoliaglade.placement import (
+    Candidate,
+    Demand,
+    Snapshot,
+    TrustEstimator,
+    UnitId,
+    Use,
+)
+from magnoliaglade.routing import Configuration
+from magnoliaglade.types import AccountId, JobId, ServiceName, ZoneId
+
+# An occurrence that ends within this many times its objective is still worth
+# something.
+LATE_FACTOR = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunTimes:
+    """Figures of the deployment that run times depend on, in seconds."""
+
+    checkpoint_s: float
+    restore_s: float
+    far_factor: float
+
+
+class SnapshotBuilder:
+    """Translates jobs and links into placement's terms.
+
+    Attributes:
+        table: the jobs.
+        trust: suspicion of workers.
+        run_times: figures of the deployment.
+        configuration: returns the configuration in force.
+        removed_zones: returns the zones in which nothing may start.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: JobTable,
+        trust: TrustEstimator,
+        run_times: RunTimes,
+        configuration: Callable[[], Configuration | None],
+        removed_zones: Callable[[], frozenset[ZoneId]],
+    ) -> None:
+        self.table = table
+        self.trust = trust
+        self.run_times = run_times
+        self.configuration = configuration
+        self.removed_zones = removed_zones
+
+    def build(
+        self, links: Iterable[WorkerLink], *, wall_s: float, now_s: float
+    ) -> Snapshot:
+        """Returns the snapshot; its times are wall times."""
+        links = list(links)
+        protected = self._protected_jobs()
+        uses: list[Use] = []
+        demands: list[Demand] = []
+        for progress in self.table.active_jobs():
+            is_protected = progress.job.job in protected
+            uses.extend(self._uses(progress, wall_s, is_protected))
+            if not progress.state.is_final:
+                demands.extend(self._demands(progress, wall_s, is_protected))
+        return Snapshot(
+            now_s=wall_s,
+            candidates=tuple(self._candidate(x, now_s) for x in links),
+            uses=tuple(uses),
+            demands=tuple(demands),
+        )
+
+    def _candidate(self, link: WorkerLink, now_s: float) -> Candidate:
+        listed = link.listed
+        suspicion = self.trust.suspicion(listed.worker, now_s)
+        is_trusted = not self.trust.is_quarantined(listed.worker, now_s)
+        is_allowed = listed.zone not in self.removed_zones()
+        return Candidate(
+            worker=listed.worker,
+            service=listed.service,
+            zone=listed.zone,
+            rack=listed.rack,
+            labels=listed.labels,
+            capacity=listed.capacity,
+            is_open=link.is_open and is_trusted and is_allowed,
+            suspicion=round(suspicion, 1),
+        )
+
+    def _uses(
+        self, progress: JobProgress, wall_s: float, is_protected: bool
+    ) -> Iterable[Use]:
+        for key, attempt in progress.attempts():
+            spec = progress.job.spec.steps[key.step]
+            elapsed_s = max(0.0, wall_s - attempt.started_at_s)
+            if not attempt.started_at_s:
+                elapsed_s = spec.estimate_s * attempt.percent / 100.0
+            yield Use(
+                unit=_unit(progress, key),
+                index=key.index,
+                worker=attempt.worker,
+                demand=spec.demand,
+                priority=progress.job.priority,
+                account=progress.job.account,
+                is_protected=is_protected,
+                is_stopping=attempt.state is AttemptState.STOPPING
+                or progress.state.is_final,
+                is_gang=spec.is_gang,
+                loss_s=self._loss_s(spec, elapsed_s),
+                ends_at_s=wall_s
+                + _remaining_s(spec, elapsed_s, attempt.percent),
+            )
+
+    def _loss_s(self, spec: StepSpec, elapsed_s: float) -> float:
+        if spec.is_checkpointable:
+            # A stop saves a checkpoint; only resuming costs time.
+            return min(elapsed_s, self.run_times.restore_s)
+        return elapsed_s
+
+    def _demands(
+        self, progress: JobProgress, wall_s: float, is_protected: bool
+    ) -> Iterable[Demand]:
+        for key in progress.open_steps(now_s=wall_s):
+            indexes = _waiting_indexes(progress, key)
+            if indexes:
+                yield self._demand(progress, key, indexes, is_protected)
+
+    def _demand(
+        self,
+        progress: JobProgress,
+        key: StepKey,
+        indexes: tuple[int, ...],
+        is_protected: bool,
+    ) -> Demand:
+        job = progress.job
+        spec = progress.spec_of(key)
+        arrived_at_s = job.arrived_at_s(key.occurrence)
+        objective_at_s = job.objective_at_s(key.occurrence)
+        late_at_s = arrived_at_s + LATE_FACTOR * (objective_at_s - arrived_at_s)
+        remaining_s = _chain_from(job.spec.steps, key.step)
+        return Demand(
+            unit=UnitId(job.job, key),
+            service=self._service(progress),
+            indexes=indexes,
+            resources=spec.demand,
+            is_gang=spec.is_gang,
+            same_rack=spec.same_rack,
+            data_rack=spec.data_rack,
+            label=spec.label,
+            max_per_worker=spec.max_per_worker,
+            avoided=progress.failed_on(key),
+            priority=job.priority,
+            account=job.account,
+            is_guaranteed=is_protected,
+            arrived_at_s=arrived_at_s,
+            estimate_s=spec.estimate_s,
+            latest_start_s=objective_at_s - remaining_s,
+            hopeless_at_s=late_at_s - remaining_s,
+        )
+
+    def _service(self, progress: JobProgress) -> ServiceName:
+        configuration = self.configuration()
+        queue = (
+            configuration.queue(progress.job.queue) if configuration else None
+        )
+        return queue.service if queue else progress.job.service
+
+    def _protected_jobs(self) -> set[JobId]:
+        """Returns urgent jobs that are within their account's guarantee."""
+        configuration = self.configuration()
+        accounts = configuration.accounts if configuration else {}
+        used: dict[AccountId, int] = {}
+        protected: set[JobId] = set()
+        for progress in self.table.active_jobs():
+            job = progress.job
+            if job.priority > 0 or progress.state.is_final:
+                continue
+            account = accounts.get(job.account)
+            if account is None:
+                continue
+            need = max(s.count * s.demand.accelerators for s in job.spec.steps)
+            total = used.get(job.account, 0) + need
+            if total <= account.guaranteed_accelerators:
+                used[job.account] = total
+                protected.add(job.job)
+        return protected
+
+
+def _unit(progress: JobProgress, key: TaskKey) -> UnitId:
+    return UnitId(progress.job.job, StepKey(key.occurrence, key.step))
+
+
+def _waiting_indexes(progress: JobProgress, key: StepKey) -> tuple[int, ...]:
+    tasks = progress.step(key).tasks
+    waiting = tuple(
+        i for i, t in enumerate(tasks) if t.attempt is None and not t.is_done
+    )
+    # A gang waits until the last run of its former start has ended.
+    if progress.spec_of(key).is_gang and len(waiting) < len(tasks):
+        return ()
+    return waiting
+
+
+def _remaining_s(spec: StepSpec, elapsed_s: float, percent: float) -> float:
+    if percent > 5.0 and elapsed_s > 0.0:
+        return elapsed_s * (100.0 - percent) / percent
+    return max(0.1, spec.estimate_s - elapsed_s)
+
+
+def _chain_from(steps: tuple[StepSpec, ...], first: int) -> float:
+    """Returns the longest chain of durations that begins with a step."""
+    after = [
+        _chain_from(steps, i) for i, s in enumerate(steps) if first in s.after
+    ]
+    return steps[first].estimate_s + max(after, default=0.0)
--- /dev/null
+++ b/magnoliaglade/coordinator/_table.py
@@ -0,0 +1,108 @@
+"""All jobs that the coordinator knows, and the runs on each worker."""
+
+from collections.abc import Iterable, Iterator
+
+from magnoliaglade.jobs import (
+    Attempt,
+    Job,
+    JobProgress,
+    RunOutcome,
+    StepKey,
+    TaskKey,
+)
+from magnoliaglade.types import JobId, Lifetime, WorkerId
+
+
+class JobTable:
+    """Jobs by id; keeps an index of attempts by worker."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, JobProgress] = {}
+        self.active: set[JobId] = set()
+        self._by_worker: dict[WorkerId, set[tuple[JobId, TaskKey]]] = {}
+
+    def add(self, job: Job) -> JobProgress:
+        """Adds a job without progress."""
+        return self.restore(JobProgress(job=job))
+
+    def restore(self, progress: JobProgress) -> JobProgress:
+        """Adds a job with its progress."""
+        job = progress.job.job
+        self.jobs[job] = progress
+        for key, attempt in progress.attempts():
+            self._index(attempt.worker).add((job, key))
+        self.refresh(job)
+        return progress
+
+    def remove(self, job: JobId) -> None:
+        """Forgets a job that has ended."""
+        self.jobs.pop(job, None)
+        self.active.discard(job)
+
+    def refresh(self, job: JobId) -> None:
+        """Keeps jobs active that can change or have runs on workers."""
+        progress = self.jobs[job]
+        has_runs = next(progress.attempts(), None) is not None
+        if has_runs or not progress.state.is_final:
+            self.active.add(job)
+        else:
+            self.active.discard(job)
+
+    def active_jobs(self) -> Iterator[JobProgress]:
+        """Yields the active jobs in order of acceptance."""
+        found = [self.jobs[j] for j in self.active]
+        found.sort(key=lambda p: (p.job.accepted_at_s, p.job.job))
+        yield from found
+
+    def begin(
+        self,
+        progress: JobProgress,
+        key: StepKey,
+        placement: Iterable[tuple[int, WorkerId, Lifetime]],
+        *,
+        now_s: float,
+    ) -> list[TaskKey]:
+        """Records planned runs; see `JobProgress.begin`."""
+        keys = progress.begin(key, placement, now_s=now_s)
+        for task_key in keys:
+            task = progress.task(task_key)
+            if task is not None and task.attempt is not None:
+                self._index(task.attempt.worker).add(
+                    (progress.job.job, task_key)
+                )
+        return keys
+
+    def end(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        run: int,
+        outcome: RunOutcome,
+    ) -> Attempt | None:
+        """Applies the end of a run; returns its attempt if it was current."""
+        task = progress.task(key)
+        attempt = task.attempt if task else None
+        if attempt is None or not progress.end(key, run, outcome):
+            return None
+        self._index(attempt.worker).discard((progress.job.job, key))
+        self.refresh(progress.job.job)
+        return attempt
+
+    def attempts_on(
+        self, worker: WorkerId
+    ) -> list[tuple[JobProgress, TaskKey, Attempt]]:
+        """Returns the attempts that are, or may be, on a worker."""
+        found: list[tuple[JobProgress, TaskKey, Attempt]] = []
+        for job, key in self._by_worker.get(worker, ()):
+            progress = self.jobs[job]
+            task = progress.task(key)
+            if task is not None and task.attempt is not None:
+                found.append((progress, key, task.attempt))
+        return found
+
+    def workers(self) -> list[WorkerId]:
+        """Returns the workers that have attempts."""
+        return [w for w, keys in self._by_worker.items() if keys]
+
+    def _index(self, worker: WorkerId) -> set[tuple[JobId, TaskKey]]:
+        return self._by_worker.setdefault(worker, set())
--- /dev/null
+++ b/magnoliaglade/fleet/base.py
@@ -0,0 +1,201 @@
+"""Interface to the workers that run tasks, and to the list of them.
+
+An adapter implements `WorkerClient` for one worker. Orders carry the epoch of
+the coordinator; a worker ignores orders of an epoch below the highest that it
+has seen. Lease times are on the worker's own clock, in milliseconds.
+"""
+
+import dataclasses
+import enum
+from typing import Protocol
+
+from magnoliaglade import exceptions
+from magnoliaglade.jobs import Resources, RunOutcome
+from magnoliaglade.types import (
+    Epoch,
+    Lifetime,
+    RackId,
+    ServiceName,
+    WorkerId,
+    ZoneId,
+)
+
+__all__ = [
+    "FleetError",
+    "ListedWorker",
+    "OrderOutcome",
+    "OrderReply",
+    "OrderUnknownError",
+    "RunEnd",
+    "RunStatus",
+    "StartOrder",
+    "WorkerClient",
+    "WorkerFencedError",
+    "WorkerNotReachedError",
+    "WorkerReplacedError",
+    "WorkerReport",
+]
+
+
+class FleetError(exceptions.MagnoliagladeError):
+    """Base class of errors of calls to workers."""
+
+
+class WorkerNotReachedError(FleetError):
+    """The order was not sent; the worker has not seen it."""
+
+
+class OrderUnknownError(FleetError):
+    """No answer came; the order may be carried out, also later."""
+
+
+class WorkerReplacedError(FleetError):
+    """Another lifetime of the worker answered; the order was not done."""
+
+
+class WorkerFencedError(FleetError):
+    """The worker has seen a higher epoch; the order was not done."""
+
+
+class OrderOutcome(enum.Enum):
+    """What a worker did with an order to start a task.
+
+    SUPERSEDED: the run is not above one that has ended there. LATE: the lease
+    of the order has ended. NO_ROOM: capacity is missing.
+    """
+
+    DONE = "done"
+    SUPERSEDED = "superseded"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    FENCED = "fenced"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ListedWorker:
+    """A worker as the platform's list shows it.
+
+    Attributes:
+        worker: id.
+        lifetime: start of this lifetime; a restart under the same id has
+            another one.
+        address: `host:port`.
+        service: pool that the worker belongs to.
+        zone: availability zone.
+        rack: rack.
+        labels: kind and rack.
+        capacity: what its tasks may use together.
+        is_draining: it leaves soon and must get no new work.
+        leaves_in_s: least time until it leaves, if it is draining.
+    """
+
+    worker: WorkerId
+    lifetime: Lifetime
+    address: str
+    service: ServiceName
+    zone: ZoneId
+    rack: RackId
+    labels: frozenset[str]
+    capacity: Resources
+    is_draining: bool = False
+    leaves_in_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunStatus:
+    """A run that is on a worker.
+
+    Attributes:
+        task: name of the task.
+        run: number of the run.
+        checkpoint: last checkpoint, or "".
+        percent: work done, or start-up done if the task is long-running.
+    """
+
+    task: str
+    run: int
+    checkpoint: str
+    percent: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunEnd:
+    """The end of a run; `number` rises by one with each end on a worker."""
+
+    number: int
+    task: str
+    run: int
+    outcome: RunOutcome
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerReport:
+    """All runs on a worker, and ends that have not been acknowledged.
+
+    Attributes:
+        lifetime: the lifetime that answered.
+        clock_ms: the worker's clock when it answered.
+        running: runs that use capacity.
+        ended: ends in order of their numbers.
+        is_complete: no further ends are waiting.
+    """
+
+    lifetime: Lifetime
+    clock_ms: int
+    running: tuple[RunStatus, ...]
+    ended: tuple[RunEnd, ...]
+    is_complete: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StartOrder:
+    """An order to start a run under a lease."""
+
+    task: str
+    run: int
+    payload: str
+    lease_until_ms: int
+    epoch: Epoch
+    checkpoint: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OrderReply:
+    """A worker's answer to an order; `clock_ms` is 0 if it gave none."""
+
+    outcome: OrderOutcome
+    clock_ms: int = 0
+
+
+class WorkerClient(Protocol):
+    """Calls to one worker; every method may raise a `FleetError`."""
+
+    async def observe(
+        self,
+        *,
+        epoch: Epoch,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+    ) -> WorkerReport:
+        """Renews the lease of all runs and returns them.
+
+        Args:
+            epoch: epoch of the caller.
+            acknowledged: number of the last end that is stored.
+            lease_until_ms: new end of the lease on the worker's clock; None
+                leaves it.
+            wait_s: time to wait for an end, in seconds.
+        """
+
+    async def start(self, order: StartOrder) -> OrderReply:
+        """Orders the start of a run."""
+
+    async def stop(self, *, task: str, run: int, epoch: Epoch) -> OrderReply:
+        """Orders a run to stop; one that is not there never starts."""
+
+    async def close(self) -> None:
+        """Closes the connections."""
--- /dev/null
+++ b/magnoliaglade/gateway/_gateway.py
@@ -0,0 +1,243 @@
+"""Takes jobs from callers and answers for them, from the store alone.
+
+Every instance has a gateway. A job is accepted once its record is stored, so
+an answer never depends on whether a coordinator is at work.
+"""
+
+import dataclasses
+import enum
+from typing import Any
+
+import msgpack
+
+from magnoliaglade import base, jobs, observability, store
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.jobs import keys
+from magnoliaglade.routing import ConfigurationFollower, Queue
+from magnoliaglade.types import AccountId, JobId
+
+# A configuration that has not been confirmed for this share of the time that
+# a revoked key may live is too old to serve calls with keys.
+FRESH_SHARE = 0.8
+# Pause before a store call is repeated within a caller's time limit.
+RETRY_S = 0.1
+# A caller that is refused for want of the store may return after this; another
+# instance often reaches it.
+RETRY_AFTER_S = 1
+# Published counts of waiting jobs are kept this long.
+COUNTS_KEPT_S = 0.5
+
+
+class Verdict(enum.Enum):
+    """Outcome of a call.
+
+    REFUSED: nothing was stored and nothing will run. UNKNOWN: the store has
+    not answered; the call may have had its effect.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    ABSENT = "absent"
+    CONFLICTING = "conflicting"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StateAnswer:
+    """State of a job, if the verdict is ACCEPTED."""
+
+    verdict: Verdict
+    state: jobs.JobState | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CountAnswer:
+    """Number of waiting jobs, if the verdict is ACCEPTED."""
+
+    verdict: Verdict
+    waiting: int = 0
+
+
+class Gateway(base.Parameterized):
+    """Submits, cancels and looks up jobs.
+
+    Attributes:
+        store: the platform's key-value service.
+        clock: source of time.
+        follower: the configuration in force.
+        revoke_s: seconds that a revoked key may still be served.
+    """
+
+    _parameter_constraints = {
+        "revoke_s": [base.Interval(kind=float, low=0, low_open=True)],
+    }
+
+    def __init__(
+        self,
+        *,
+        store: store.TransactionalStore,
+        clock: clock_lib.Clock,
+        follower: ConfigurationFollower,
+        revoke_s: float,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.follower = follower
+        self.revoke_s = revoke_s
+        self._counts: tuple[float, dict[str, int]] = (float("-inf"), {})
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the configuration is recent enough to serve keys."""
+        return self.follower.age_s <= self.revoke_s * FRESH_SHARE
+
+    async def submit(
+        self,
+        *,
+        job: JobId,
+        queue: Queue,
+        account: AccountId,
+        spec: jobs.JobSpec,
+        limit_s: float,
+    ) -> Verdict:
+        """Stores a job; a repeated call for the same id changes nothing.
+
+        Args:
+            job: id chosen by the caller.
+            queue: queue that the call belongs to.
+            account: client account of the caller.
+            spec: what was submitted.
+            limit_s: time that the caller waits.
+        """
+        record = jobs.Job(
+            job=job,
+            account=account,
+            queue=queue.name,
+            service=queue.service,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            objective_s=queue.objective_s,
+            accepted_at_s=self.clock.time(),
+            spec=spec,
+        )
+        verdict = await self._create(
+            keys.job_key(job), jobs.encode_job(record), limit_s
+        )
+        if verdict is Verdict.CONFLICTING:
+            verdict = await self._compare(record)
+        observability.log_event(
+            "submission",
+            job=job,
+            outcome=verdict.value,
+            queue=queue.name,
+            account=account,
+            tasks=sum(s.count for s in spec.steps),
+            configuration_age_s=round(self.follower.age_s, 3),
+        )
+        return verdict
+
+    async def cancel(
+        self, *, job: JobId, account: AccountId | None, limit_s: float
+    ) -> Verdict:
+        """Stores that a job is cancelled; ABSENT if there is no such job."""
+        deadline_s = self.clock.now() + limit_s
+        entry, is_known = await self._read(keys.job_key(job), deadline_s)
+        if not is_known:
+            return Verdict.REFUSED
+        if entry is None or not _belongs(entry, account):
+            return Verdict.ABSENT
+        verdict = await self._create(
+            keys.cancellation_key(job), b"", deadline_s - self.clock.now()
+        )
+        if verdict is Verdict.CONFLICTING:
+            verdict = Verdict.ACCEPTED
+        observability.log_event("cancellation", job=job, outcome=verdict.value)
+        return verdict
+
+    async def state(
+        self, *, job: JobId, account: AccountId | None, limit_s: float
+    ) -> StateAnswer:
+        """Returns the state of a job."""
+        deadline_s = self.clock.now() + limit_s
+        entry, is_known = await self._read(keys.progress_key(job), deadline_s)
+        if not is_known:
+            return StateAnswer(verdict=Verdict.REFUSED)
+        if entry is not None:
+            state = jobs.decode_state(entry.value)
+            return StateAnswer(verdict=Verdict.ACCEPTED, state=state)
+        entry, is_known = await self._read(keys.job_key(job), deadline_s)
+        if not is_known:
+            return StateAnswer(verdict=Verdict.REFUSED)
+        if entry is None or not _belongs(entry, account):
+            return StateAnswer(verdict=Verdict.ABSENT)
+        return StateAnswer(verdict=Verdict.ACCEPTED, state=jobs.JobState.QUEUED)
+
+    async def waiting(self, queue: Queue, *, limit_s: float) -> CountAnswer:
+        """Returns how many jobs of a queue have started no task."""
+        now_s = self.clock.now()
+        read_at_s, counts = self._counts
+        if now_s - read_at_s > COUNTS_KEPT_S:
+            entry, is_known = await self._read(keys.COUNTS_KEY, now_s + limit_s)
+            if not is_known:
+                return CountAnswer(verdict=Verdict.REFUSED)
+            counts = msgpack.unpackb(entry.value) if entry else {}
+            self._counts = (now_s, counts)
+        return CountAnswer(
+            verdict=Verdict.ACCEPTED, waiting=counts.get(queue.name, 0)
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Returns whether calls are served."""
+        return {"is_fresh": self.is_fresh}
+
+    async def _create(self, key: str, value: bytes, limit_s: float) -> Verdict:
+        """Creates a key; CONFLICTING if it exists."""
+        deadline_s = self.clock.now() + limit_s
+        is_maybe_stored = False
+        while True:
+            try:
+                await self.store.put(key, value, expected=0)
+            except store.ConflictError:
+                # The conflict may be with an earlier try of this call.
+                return Verdict.CONFLICTING
+            except store.StoreUnavailableError:
+                pass
+            except store.StoreError:
+                is_maybe_stored = True
+            else:
+                return Verdict.ACCEPTED
+            if self.clock.now() + RETRY_S >= deadline_s:
+                return Verdict.UNKNOWN if is_maybe_stored else Verdict.REFUSED
+            await self.clock.sleep(RETRY_S)
+
+    async def _compare(self, record: jobs.Job) -> Verdict:
+        """Tells whether the stored job is the one that is submitted."""
+        try:
+            entry = await self.store.get(keys.job_key(record.job))
+        except store.StoreError:
+            return Verdict.UNKNOWN
+        if entry is None:
+            return Verdict.UNKNOWN
+        stored = jobs.decode_job(entry.value)
+        is_same = (stored.account, stored.spec) == (record.account, record.spec)
+        return Verdict.ACCEPTED if is_same else Verdict.CONFLICTING
+
+    async def _read(
+        self, key: str, deadline_s: float
+    ) -> tuple[store.Entry | None, bool]:
+        """Returns the entry, and whether the store has answered."""
+        while True:
+            try:
+                return await self.store.get(key), True
+            except store.StoreError as error:
+                if self.clock.now() + RETRY_S >= deadline_s:
+                    observability.log_event(
+                        "read", outcome="no answer", key=key, reason=str(error)
+                    )
+                    return None, False
+                await self.clock.sleep(RETRY_S)
+
+
+def _belongs(entry: store.Entry, account: AccountId | None) -> bool:
+    return account is None or jobs.decode_job(entry.value).account == account
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -78,8 +78,7 @@
 
     async def stop(self) -> None:
         """Closes all idle connections."""
-        while self._idle:
-            self._idle.pop()[1].close()
+        self._close_idle()
 
     async def call(
         self,
@@ -120,6 +119,7 @@
         except BaseException as error:
             if connection is not None:
                 connection.close()
+                self._close_idle()
             raise _translate(error, self.url, connection) from error
         self._keep(connection)
         return Reply(status=status, body=content)
@@ -132,6 +132,11 @@
             connection.close()
         return await _connection.connect(self.url)
 
+    def _close_idle(self) -> None:
+        # What silences one connection usually silences those of its age.
+        while self._idle:
+            self._idle.pop()[1].close()
+
     def _keep(self, connection: _connection.ClientConnection) -> None:
         if connection.is_reusable and len(self._idle) < _MAX_IDLE:
             self._idle.append((time.monotonic(), connection))
--- /dev/null
+++ b/magnoliaglade/instance/_instance.py
@@ -0,0 +1,282 @@
+"""Wires the parts of one instance and runs them until a signal."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import blacksheep
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import (
+    coordinator,
+    fleet,
+    http,
+    observability,
+    placement,
+    platform,
+    routing,
+)
+from magnoliaglade.gateway import Gateway
+from magnoliaglade.instance._metrics import InstanceMetrics
+from magnoliaglade.instance._settings import (
+    InstanceSettings,
+    InstanceSettingsError,
+)
+from magnoliaglade.types import Epoch
+
+# Time between SIGTERM and closing the listeners, in seconds: the platform
+# looks for readiness every second and needs two misses.
+DRAIN_S = 2.6
+# Part of the grace time that is kept for closing connections, in seconds.
+EXIT_MARGIN_S = 0.8
+# Interval of looking for changes of the settings file, in seconds.
+SETTINGS_POLL_S = 2.0
+# Without an answer of the store for this long, the instance is not ready.
+READY_AGE_S = 2.5
+
+
+class Instance:
+    """One process: gateway, standing for election, and its servers.
+
+    Attributes:
+        settings: checked settings.
+        clock: source of time.
+    """
+
+    def __init__(
+        self, *, settings: InstanceSettings, clock: clock_lib.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.metrics = InstanceMetrics()
+        self._is_stopping = False
+        self._coordinator: coordinator.Coordinator | None = None
+        self.store = platform.PlatformStore(address=settings.store_address)
+        self.follower = routing.ConfigurationFollower(
+            store=self.store,
+            clock=clock,
+            prefix=platform.OPERATOR_PREFIX,
+            decode=platform.decode_operator_state,
+        )
+        self.gateway = Gateway(
+            store=self.store,
+            clock=clock,
+            follower=self.follower,
+            revoke_s=settings.bounds.revoke_s,
+        )
+        self.election = coordinator.Election(
+            store=self.store,
+            clock=clock,
+            instance=settings.instance,
+            incarnation=self.incarnation,
+            term=self._serve_term,
+            random=random.Random(),  # noqa: S311
+        )
+        self._servers = self._make_servers()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the platform may send new connections."""
+        return (
+            not self._is_stopping
+            and self.follower.configuration is not None
+            and self.follower.age_s <= READY_AGE_S
+        )
+
+    async def start(self) -> None:
+        """Serves callers and stands for election.
+
+        Raises:
+            HttpServerError: an address cannot be bound.
+        """
+        for server in self._servers:
+            await server.start()
+        await self.store.start()
+        await self.follower.start()
+        await self.election.start()
+        observability.log_event(
+            "instance",
+            state="started",
+            zone=self.settings.zone,
+            incarnation=self.incarnation,
+        )
+
+    async def stop(self) -> None:
+        """Hands the coordinator's place over, finishes calls and ends."""
+        self._is_stopping = True
+        observability.log_event("instance", state="stopping")
+        await self.election.stop()
+        grace_s = self.settings.bounds.grace_s - EXIT_MARGIN_S
+        await self.clock.sleep(min(DRAIN_S, grace_s))
+        for server in self._servers:
+            await server.stop()
+        await self.follower.stop()
+        await self.store.stop()
+        observability.log_event("instance", state="stopped")
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of every part."""
+        return {
+            "instance": self.settings.instance,
+            "zone": self.settings.zone,
+            "is_ready": self.is_ready,
+            "configuration": self.follower.dump(),
+            "gateway": self.gateway.dump(),
+            "election": self.election.dump(),
+            "coordinator": (
+                self._coordinator.dump() if self._coordinator else None
+            ),
+            "store_calls": self.store.calls,
+        }
+
+    async def _serve_term(self, epoch: Epoch) -> None:
+        bounds = self.settings.bounds
+        self._coordinator = coordinator.Coordinator(
+            store=self.store,
+            clock=self.clock,
+            epoch=epoch,
+            connect=_connect,
+            list_workers=self._list_workers,
+            configuration=lambda: self.follower.configuration,
+            removed_zones=lambda: self.follower.removed_zones,
+            unconfirmed_s=lambda: self.election.unconfirmed_s,
+            timings=coordinator.Timings(
+                longest_lease_s=bounds.longest_lease_s,
+                stop_s=bounds.stop_s,
+                status_s=bounds.status_s,
+                run_times=coordinator.RunTimes(
+                    checkpoint_s=bounds.checkpoint_s,
+                    restore_s=bounds.restore_s,
+                    far_factor=bounds.far_factor,
+                ),
+            ),
+            planner=placement.Planner(),
+        )
+        try:
+            await self._coordinator.run()
+        finally:
+            self._coordinator = None
+
+    async def _list_workers(self) -> list[fleet.ListedWorker]:
+        entries, _ = await self.store.list_prefix(platform.WORKER_PREFIX)
+        return platform.decode_workers(entries)
+
+    def _make_servers(self) -> list[http.HttpServer]:
+        front = platform.FrontApi(
+            gateway=self.gateway,
+            follower=self.follower,
+            is_ready=lambda: self.is_ready,
+            is_stopping=lambda: self._is_stopping,
+            observe=self._observe_call,
+        )
+        applications = (
+            (self.settings.front, front.application()),
+            (self.settings.ready, front.readiness_application()),
+            (self.settings.internal, self._internal_application()),
+        )
+        return [
+            http.HttpServer(
+                application=application,
+                host=address.host,
+                port=address.port,
+                stop_timeout_s=1.0,
+            )
+            for address, application in applications
+        ]
+
+    def _observe_call(
+        self, method: str, status: int, duration_s: float
+    ) -> None:
+        self.metrics.calls.labels(method, str(status)).inc()
+        self.metrics.call_latency.labels(method).observe(duration_s)
+
+    def _internal_application(self) -> blacksheep.Application:
+        async def metrics(_: blacksheep.Request) -> blacksheep.Response:
+            self._refresh_metrics()
+            content = blacksheep.Content(
+                b"text/plain; version=0.0.4", self.metrics.render()
+            )
+            return blacksheep.Response(200, None, content)
+
+        async def state(_: blacksheep.Request) -> blacksheep.Response:
+            return http.json_response(200, observability.to_plain(self.dump()))
+
+        return http.new_application(
+            {("GET", "/metrics"): metrics, ("GET", "/state"): state}
+        )
+
+    def _refresh_metrics(self) -> None:
+        current = self._coordinator
+        self.metrics.store_calls.set(self.store.calls)
+        self.metrics.configuration_age.set(min(self.follower.age_s, 1e9))
+        self.metrics.coordinator_epoch.set(self.election.epoch or 0)
+        active = len(current.table.active) if current else 0
+        self.metrics.active_jobs.set(active)
+
+
+def _connect(listed: fleet.ListedWorker) -> fleet.WorkerClient:
+    return platform.PlatformWorker(worker=listed.worker, address=listed.address)
+
+
+async def run(
+    path: pathlib.Path, load: Callable[[pathlib.Path], InstanceSettings]
+) -> int:
+    """Runs an instance until SIGTERM or SIGINT; returns the exit status.
+
+    Raises:
+        InstanceSettingsError: the settings file is not usable.
+    """
+    settings = load(path)
+    stream = observability.BoundedStream(fd=sys.stdout.fileno())
+    observability.start_logging(stream=stream)  # type: ignore[arg-type]
+    observability.set_log_context(instance=settings.instance)
+    instance = Instance(settings=settings, clock=clock_lib.SystemClock())
+    stopping = asyncio.Event()
+    reload = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    await instance.start()
+    reloading = asyncio.ensure_future(
+        _follow_settings(instance, path, load, reload)
+    )
+    await stopping.wait()
+    reloading.cancel()
+    await asyncio.gather(reloading, return_exceptions=True)
+    await instance.stop()
+    return 0
+
+
+async def _follow_settings(
+    instance: Instance,
+    path: pathlib.Path,
+    load: Callable[[pathlib.Path], InstanceSettings],
+    reload: asyncio.Event,
+) -> None:
+    """Reads the settings again on SIGHUP and when the file changes."""
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(reload.wait(), SETTINGS_POLL_S)
+        was_asked = reload.is_set()
+        reload.clear()
+        try:
+            settings = load(path)
+        except InstanceSettingsError as error:
+            observability.log_event(
+                "settings", state="not usable", reason=str(error)
+            )
+            continue
+        if settings != instance.settings:
+            instance.settings = settings
+            instance.gateway.revoke_s = settings.bounds.revoke_s
+        elif not was_asked:
+            continue
+        observability.log_event("settings", state="reloaded")
--- /dev/null
+++ b/magnoliaglade/instance/_metrics.py
@@ -0,0 +1,52 @@
+"""Counters and latency histograms as text, on the internal address."""
+
+import prometheus_client
+from prometheus_client import CollectorRegistry
+
+# Upper bounds of latency buckets in seconds, around the objectives of calls
+# and up to callers' usual time limit.
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0)
+
+
+class InstanceMetrics:
+    """Metrics of one instance."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.calls = prometheus_client.Counter(
+            "magnoliaglade_calls",
+            "Calls by method and status.",
+            ["method", "status"],
+            registry=self.registry,
+        )
+        self.call_latency = prometheus_client.Histogram(
+            "magnoliaglade_call_latency_seconds",
+            "Time from reading a call to its answer.",
+            ["method"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Gauge(
+            "magnoliaglade_store_calls",
+            "Calls to the key-value service since the start.",
+            registry=self.registry,
+        )
+        self.configuration_age = prometheus_client.Gauge(
+            "magnoliaglade_configuration_age_seconds",
+            "Time since the configuration was last confirmed.",
+            registry=self.registry,
+        )
+        self.coordinator_epoch = prometheus_client.Gauge(
+            "magnoliaglade_coordinator_epoch",
+            "Epoch of this instance as the coordinator; 0 if it is not.",
+            registry=self.registry,
+        )
+        self.active_jobs = prometheus_client.Gauge(
+            "magnoliaglade_active_jobs",
+            "Jobs that have not ended, on the coordinator.",
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/magnoliaglade/instance/_settings.py
@@ -0,0 +1,72 @@
+"""What an instance needs to know of its place and of the platform's bounds."""
+
+import dataclasses
+
+from magnoliaglade import exceptions
+from magnoliaglade.types import InstanceId, ZoneId
+
+
+class InstanceSettingsError(exceptions.MagnoliagladeError):
+    """The settings cannot be read, or a value is not allowed."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns `host:port`."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Bounds:
+    """Bounds that the platform states for this deployment, in seconds.
+
+    Attributes:
+        longest_lease_s: longest lease of a run that a worker accepts.
+        revoke_s: a revoked key must not be served later than this.
+        stop_s: longest time that a worker takes to stop a run.
+        grace_s: time between SIGTERM and SIGKILL.
+        status_s: an ended job is known at least this long.
+        checkpoint_s: work between two checkpoints.
+        restore_s: time to resume from one.
+        far_factor: factor on run times off the data's rack or across racks.
+        heartbeat_s: interval of workers' heartbeats.
+    """
+
+    longest_lease_s: float = 6.0
+    revoke_s: float = 5.0
+    stop_s: float = 0.4
+    grace_s: float = 6.0
+    status_s: float = 120.0
+    checkpoint_s: float = 2.0
+    restore_s: float = 0.25
+    far_factor: float = 3.0
+    heartbeat_s: float = 1.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceSettings:
+    """Settings of one instance.
+
+    Attributes:
+        instance: id of the machine.
+        zone: availability zone of the machine.
+        front: address for callers.
+        ready: address for the platform's readiness checks.
+        internal: address for metrics and state dumps.
+        store_address: `host:port` of the platform's key-value service.
+        bounds: bounds of the deployment.
+    """
+
+    instance: InstanceId
+    zone: ZoneId
+    front: Address
+    ready: Address
+    internal: Address
+    store_address: str
+    bounds: Bounds
--- /dev/null
+++ b/magnoliaglade/jobs/__init__.py
@@ -0,0 +1,51 @@
+"""The job model: what callers submit and how far it has come."""
+
+from magnoliaglade.jobs._model import (
+    Job,
+    JobSpec,
+    JobState,
+    Resources,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    parse_task_name,
+)
+from magnoliaglade.jobs._progress import (
+    Attempt,
+    AttemptState,
+    JobProgress,
+    RunOutcome,
+    StepProgress,
+    TaskProgress,
+)
+from magnoliaglade.jobs._records import (
+    RecordError,
+    decode_job,
+    decode_progress,
+    decode_state,
+    encode_job,
+    encode_progress,
+)
+
+__all__ = [
+    "Attempt",
+    "AttemptState",
+    "Job",
+    "JobProgress",
+    "JobSpec",
+    "JobState",
+    "RecordError",
+    "Resources",
+    "RunOutcome",
+    "StepKey",
+    "StepProgress",
+    "StepSpec",
+    "TaskKey",
+    "TaskProgress",
+    "decode_job",
+    "decode_progress",
+    "decode_state",
+    "encode_job",
+    "encode_progress",
+    "parse_task_name",
+]
--- /dev/null
+++ b/magnoliaglade/jobs/_progress.py
@@ -0,0 +1,275 @@
+"""How far a job has come: attempts, failures, checkpoints and ends.
+
+Pure state transitions; nothing here reads a clock or talks to a worker.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Iterator
+
+from magnoliaglade.jobs._model import Job, JobState, StepKey, StepSpec, TaskKey
+from magnoliaglade.types import Lifetime, WorkerId
+
+
+class RunOutcome(enum.Enum):
+    """How a run of a task ended.
+
+    FAILED counts as an attempt. LOST stands for a run whose worker is gone or
+    whose lease has ended unseen.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    LOST = "lost"
+
+
+class AttemptState(enum.Enum):
+    """What is known about a run that may be using capacity."""
+
+    PLANNED = "planned"
+    SENT = "sent"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Attempt:
+    """A run that is, or may be, on a worker.
+
+    Attributes:
+        run: number of the run.
+        worker: the worker.
+        lifetime: the worker's lifetime that was meant.
+        state: what is known.
+        started_at_s: wall time of the plan; 0 if from a record.
+        settled_at_s: monotonic time since when the order can no longer start
+            the run unseen; None while it may be carried out late.
+        answered_by_s: monotonic time at which the call of the order ended.
+        percent: work done when last seen.
+        percent_at_s: monotonic time since when `percent` has not changed.
+    """
+
+    run: int
+    worker: WorkerId
+    lifetime: Lifetime
+    state: AttemptState
+    started_at_s: float = 0.0
+    settled_at_s: float | None = None
+    answered_by_s: float = float("inf")
+    percent: float = 0.0
+    percent_at_s: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class TaskProgress:
+    """One task: its highest run, its attempt if any, failures, result."""
+
+    run: int = 0
+    failures: int = 0
+    is_done: bool = False
+    attempt: Attempt | None = None
+    failed_on: frozenset[WorkerId] = frozenset()
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StepProgress:
+    """One run of a step.
+
+    Attributes:
+        tasks: the tasks by index.
+        gang_failures: failed runs of the gang as a whole.
+        failed_run: last run that counted as a failure of the gang.
+        checkpoints: last checkpoint by task index; a gang uses index 0 only.
+    """
+
+    tasks: list[TaskProgress]
+    gang_failures: int = 0
+    failed_run: int = 0
+    checkpoints: dict[int, str] = dataclasses.field(default_factory=dict)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended as done."""
+        return all(t.is_done for t in self.tasks)
+
+    def attempts(self) -> Iterator[tuple[int, Attempt]]:
+        """Yields index and attempt of each task that has one."""
+        for index, task in enumerate(self.tasks):
+            if task.attempt is not None:
+                yield index, task.attempt
+
+
+class JobProgress:
+    """Mutable progress of one job, owned by the coordinator."""
+
+    def __init__(self, *, job: Job) -> None:
+        self.job = job
+        self.state = JobState.QUEUED
+        self.has_started = False
+        self.done_steps: set[StepKey] = set()
+        self.steps: dict[StepKey, StepProgress] = {}
+
+    def step(self, key: StepKey) -> StepProgress:
+        """Returns the progress of a step, created on first use."""
+        if key not in self.steps:
+            count = self.job.spec.steps[key.step].count
+            self.steps[key] = StepProgress(
+                tasks=[TaskProgress() for _ in range(count)]
+            )
+        return self.steps[key]
+
+    def spec_of(self, key: StepKey) -> StepSpec:
+        """Returns the declaration of a step."""
+        return self.job.spec.steps[key.step]
+
+    def task(self, key: TaskKey) -> TaskProgress | None:
+        """Returns the progress of a task, or None if it has none."""
+        step = self.steps.get(StepKey(key.occurrence, key.step))
+        if step is None or key.index >= len(step.tasks):
+            return None
+        return step.tasks[key.index]
+
+    def open_steps(self, *, now_s: float) -> list[StepKey]:
+        """Returns steps that are due and whose predecessors are complete.
+
+        Args:
+            now_s: wall time in seconds since 1970.
+        """
+        found: list[StepKey] = []
+        for occurrence in range(self.job.spec.occurrences):
+            if self.job.spec.due_at_s(occurrence) > now_s:
+                break
+            for number, spec in enumerate(self.job.spec.steps):
+                key = StepKey(occurrence, number)
+                if key in self.done_steps:
+                    continue
+                if all(
+                    StepKey(occurrence, i) in self.done_steps
+                    for i in spec.after
+                ):
+                    found.append(key)
+        return found
+
+    def attempts(self) -> Iterator[tuple[TaskKey, Attempt]]:
+        """Yields every attempt of the job."""
+        for key, step in self.steps.items():
+            for index, attempt in step.attempts():
+                yield TaskKey(*key, index), attempt
+
+    def begin(
+        self,
+        key: StepKey,
+        placement: Iterable[tuple[int, WorkerId, Lifetime]],
+        *,
+        now_s: float,
+    ) -> list[TaskKey]:
+        """Records a planned run for each placed task.
+
+        Members of a gang get the same run number.
+        """
+        step = self.step(key)
+        placed = list(placement)
+        gang_run = 1 + max(t.run for t in step.tasks)
+        is_gang = self.spec_of(key).is_gang
+        for index, worker, lifetime in placed:
+            task = step.tasks[index]
+            task.run = gang_run if is_gang else task.run + 1
+            task.attempt = Attempt(
+                run=task.run,
+                worker=worker,
+                lifetime=lifetime,
+                state=AttemptState.PLANNED,
+                started_at_s=now_s,
+            )
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        self.has_started = True
+        return [TaskKey(*key, index) for index, _, _ in placed]
+
+    def end(self, key: TaskKey, run: int, outcome: RunOutcome) -> bool:
+        """Applies the end of a run; returns whether it was the current one."""
+        task = self.task(key)
+        if task is None or task.attempt is None or task.attempt.run != run:
+            return False
+        attempt, task.attempt = task.attempt, None
+        step_key = StepKey(key.occurrence, key.step)
+        step = self.steps[step_key]
+        if outcome is RunOutcome.DONE:
+            self._complete(step_key, step, key.index)
+        elif outcome is RunOutcome.FAILED:
+            task.failed_on |= {attempt.worker}
+            self._count_failure(step_key, step, task, run)
+        self._close_step(step_key, step)
+        return True
+
+    def checkpoint_of(self, key: TaskKey) -> str:
+        """Returns the checkpoint that the next run resumes from, or ""."""
+        step = self.steps.get(StepKey(key.occurrence, key.step))
+        if step is None:
+            return ""
+        return step.checkpoints.get(self._slot(key), "")
+
+    def save_checkpoint(self, key: TaskKey, value: str) -> None:
+        """Keeps a checkpoint; an empty one is ignored."""
+        step = self.steps.get(StepKey(key.occurrence, key.step))
+        if value and step is not None:
+            step.checkpoints[self._slot(key)] = value
+
+    def failed_on(self, key: StepKey) -> frozenset[WorkerId]:
+        """Returns workers on which a task of the step has failed."""
+        step = self.steps.get(key)
+        if step is None:
+            return frozenset()
+        return frozenset().union(*(t.failed_on for t in step.tasks))
+
+    def settle(self) -> None:
+        """Sets the final state once every step is complete."""
+        total = self.job.spec.occurrences * len(self.job.spec.steps)
+        if not self.state.is_final and len(self.done_steps) == total:
+            self.state = JobState.COMPLETED
+
+    def cancel(self) -> bool:
+        """Cancels the job; returns False if it has ended already."""
+        if self.state.is_final:
+            return False
+        self.state = JobState.CANCELLED
+        return True
+
+    def _slot(self, key: TaskKey) -> int:
+        return 0 if self.job.spec.steps[key.step].is_gang else key.index
+
+    def _complete(self, key: StepKey, step: StepProgress, index: int) -> None:
+        spec = self.spec_of(key)
+        if spec.is_long_running:
+            return
+        members = step.tasks if spec.is_gang else [step.tasks[index]]
+        for task in members:
+            task.is_done = True
+
+    def _count_failure(
+        self, key: StepKey, step: StepProgress, task: TaskProgress, run: int
+    ) -> None:
+        if self.spec_of(key).is_gang:
+            if step.failed_run >= run:
+                return
+            step.failed_run = run
+            step.gang_failures += 1
+            failures = step.gang_failures
+        else:
+            task.failures += 1
+            failures = task.failures
+        if self.spec_of(key).is_long_running or self.state.is_final:
+            return
+        if failures >= self.job.max_attempts and not task.is_done:
+            self.state = JobState.FAILED
+
+    def _close_step(self, key: StepKey, step: StepProgress) -> None:
+        if step.is_done:
+            self.done_steps.add(key)
+            if not any(True for _ in step.attempts()):
+                del self.steps[key]
+            self.settle()
--- /dev/null
+++ b/magnoliaglade/jobs/_records.py
@@ -0,0 +1,181 @@
+"""Stored form of accepted jobs and of their progress (msgpack)."""
+
+from typing import Any
+
+import msgpack
+
+from magnoliaglade import exceptions
+from magnoliaglade.jobs._model import (
+    Job,
+    JobSpec,
+    JobState,
+    Resources,
+    StepKey,
+    StepSpec,
+)
+from magnoliaglade.jobs._progress import (
+    Attempt,
+    AttemptState,
+    JobProgress,
+    StepProgress,
+    TaskProgress,
+)
+from magnoliaglade.types import Lifetime, WorkerId
+
+_FORMAT = 1
+
+
+class RecordError(exceptions.MagnoliagladeError):
+    """A stored record cannot be read."""
+
+
+def encode_job(job: Job) -> bytes:
+    """Returns the stored form of an accepted job."""
+    fields = _fields(job) | {"spec": _fields(job.spec), "format": _FORMAT}
+    fields["spec"]["steps"] = [
+        _fields(s) | {"demand": _fields(s.demand)} for s in job.spec.steps
+    ]
+    return msgpack.packb(fields)
+
+
+def decode_job(data: bytes) -> Job:
+    """Reads what `encode_job` wrote.
+
+    Raises:
+        RecordError: the record is damaged or of another format.
+    """
+    try:
+        fields = msgpack.unpackb(data)
+        _check_format(fields)
+        spec = fields.pop("spec")
+        steps = tuple(_decode_step(s) for s in spec.pop("steps"))
+        return Job(spec=JobSpec(steps=steps, **spec), **fields)
+    except _DAMAGE as error:
+        raise RecordError(f"job record: {error!r}") from error
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Returns the stored form of a job's progress."""
+    return msgpack.packb(
+        {
+            "format": _FORMAT,
+            "state": progress.state.value,
+            "started": progress.has_started,
+            "done": sorted(progress.done_steps),
+            "steps": [
+                [*key, *_encode_step(step)]
+                for key, step in progress.steps.items()
+            ],
+        }
+    )
+
+
+def decode_progress(data: bytes, *, job: Job) -> JobProgress:
+    """Reads what `encode_progress` wrote.
+
+    Raises:
+        RecordError: the record is damaged or of another format.
+    """
+    try:
+        fields = msgpack.unpackb(data, strict_map_key=False)
+        _check_format(fields)
+        progress = JobProgress(job=job)
+        progress.state = JobState(fields["state"])
+        progress.has_started = fields["started"]
+        progress.done_steps = {StepKey(*k) for k in fields["done"]}
+        for occurrence, number, *rest in fields["steps"]:
+            count = job.spec.steps[number].count
+            key = StepKey(occurrence, number)
+            progress.steps[key] = _decode_step_progress(rest, count)
+        return progress
+    except _DAMAGE as error:
+        raise RecordError(f"progress of {job.job}: {error!r}") from error
+
+
+def decode_state(data: bytes) -> JobState:
+    """Returns only the job's state from a progress record.
+
+    Raises:
+        RecordError: the record is damaged or of another format.
+    """
+    try:
+        fields = msgpack.unpackb(data, strict_map_key=False)
+        _check_format(fields)
+        return JobState(fields["state"])
+    except _DAMAGE as error:
+        raise RecordError(f"job state: {error!r}") from error
+
+
+_DAMAGE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    msgpack.UnpackException,
+)
+
+
+def _fields(value: Any) -> dict[str, Any]:
+    return {name: getattr(value, name) for name in value.__slots__}
+
+
+def _check_format(fields: dict[str, Any]) -> None:
+    found = fields.pop("format")
+    if found != _FORMAT:
+        raise ValueError(f"format {found!r}, expected {_FORMAT}")
+
+
+def _decode_step(fields: dict[str, Any]) -> StepSpec:
+    demand = Resources(**fields.pop("demand"))
+    after = tuple(fields.pop("after"))
+    return StepSpec(demand=demand, after=after, **fields)
+
+
+def _encode_step(step: StepProgress) -> list[Any]:
+    tasks = [
+        [index, task.run, task.failures, task.is_done, sorted(task.failed_on)]
+        + _encode_attempt(task.attempt)
+        for index, task in enumerate(step.tasks)
+        if task.run
+    ]
+    return [step.gang_failures, step.failed_run, step.checkpoints, tasks]
+
+
+def _encode_attempt(attempt: Attempt | None) -> list[Any]:
+    if attempt is None:
+        return []
+    return [attempt.run, attempt.worker, attempt.lifetime]
+
+
+def _decode_step_progress(fields: list[Any], count: int) -> StepProgress:
+    gang_failures, failed_run, checkpoints, rows = fields
+    tasks = [TaskProgress() for _ in range(count)]
+    for index, run, failures, is_done, failed_on, *attempt in rows:
+        tasks[index] = TaskProgress(
+            run=run,
+            failures=failures,
+            is_done=is_done,
+            failed_on=frozenset(WorkerId(w) for w in failed_on),
+            attempt=_decode_attempt(attempt),
+        )
+    return StepProgress(
+        tasks=tasks,
+        gang_failures=gang_failures,
+        failed_run=failed_run,
+        checkpoints=checkpoints,
+    )
+
+
+def _decode_attempt(fields: list[Any]) -> Attempt | None:
+    if not fields:
+        return None
+    run, worker, lifetime = fields
+    # The writer may have sent a planned order after it was stored. Its epoch
+    # is over, so no order of it is carried out unseen any more.
+    return Attempt(
+        run=run,
+        worker=WorkerId(worker),
+        lifetime=Lifetime(lifetime),
+        state=AttemptState.SENT,
+        settled_at_s=float("-inf"),
+    )
--- a/magnoliaglade/observability/__init__.py
+++ b/magnoliaglade/observability/__init__.py
@@ -1,6 +1,12 @@
 """Counters by statsd, log lines for state changes, state dumps."""
 
 from magnoliaglade.observability._dump import to_plain
+from magnoliaglade.observability._events import (
+    BoundedStream,
+    LineBudget,
+    log_event,
+    set_log_context,
+)
 from magnoliaglade.observability._log import (
     log_state_change,
     start_logging,
@@ -14,11 +20,15 @@
 from magnoliaglade.observability._reporter import MetricsReporter
 
 __all__ = [
+    "BoundedStream",
     "InMemoryMetrics",
+    "LineBudget",
     "Metrics",
     "MetricsReporter",
     "StatsdMetrics",
+    "log_event",
     "log_state_change",
+    "set_log_context",
     "start_logging",
     "state_changes",
     "to_plain",
--- /dev/null
+++ b/magnoliaglade/placement/_model.py
@@ -0,0 +1,159 @@
+"""Typed snapshot that placement decides on, and the plan that it returns.
+
+All times are seconds on one clock of the caller's choice.
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from magnoliaglade.jobs import Resources, StepKey
+from magnoliaglade.types import (
+    AccountId,
+    JobId,
+    RackId,
+    ServiceName,
+    WorkerId,
+    ZoneId,
+)
+
+
+class UnitId(NamedTuple):
+    """A step run of a job: what waits and is placed as one demand."""
+
+    job: JobId
+    step: StepKey
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """A worker as placement sees it.
+
+    Attributes:
+        worker: id.
+        service: pool.
+        zone: availability zone.
+        rack: rack.
+        labels: kind and rack.
+        capacity: all that its tasks may use.
+        is_open: it may be given tasks now.
+        suspicion: 0 for a sound worker; a higher one is used later.
+    """
+
+    worker: WorkerId
+    service: ServiceName
+    zone: ZoneId
+    rack: RackId
+    labels: frozenset[str]
+    capacity: Resources
+    is_open: bool
+    suspicion: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Use:
+    """Capacity that a run uses on a worker.
+
+    Attributes:
+        unit: the step run that it belongs to.
+        index: index of the task.
+        worker: the worker.
+        demand: capacity that it uses.
+        priority: priority of the job.
+        account: client account of the job.
+        is_protected: it runs within a guarantee and is never preempted.
+        is_stopping: its capacity becomes free shortly.
+        is_gang: stopping it breaks all runs of the unit.
+        loss_s: work in seconds that a stop now would throw away.
+        ends_at_s: when it is expected to end.
+    """
+
+    unit: UnitId
+    index: int
+    worker: WorkerId
+    demand: Resources
+    priority: int
+    account: AccountId
+    is_protected: bool
+    is_stopping: bool
+    is_gang: bool
+    loss_s: float
+    ends_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Demand:
+    """Tasks of one step run that wait for workers.
+
+    Attributes:
+        unit: the step run.
+        service: pool that may run it.
+        indexes: the waiting tasks; a gang is placed whole or not at all.
+        resources: capacity of each task.
+        is_gang: the tasks are placed together.
+        same_rack: they run far slower on several racks.
+        data_rack: they run far slower off this rack; "" for none.
+        label: label that the worker must have, or "".
+        max_per_worker: most tasks of the step on one worker; 0 for no limit.
+        avoided: workers that must not be used, since a task failed there.
+        priority: 0 comes first.
+        account: client account.
+        is_guaranteed: it is within the account's guarantee.
+        arrived_at_s: when it could first have started.
+        estimate_s: expected run time of a task near its data.
+        latest_start_s: last start that still meets the objective.
+        hopeless_at_s: last start that is still worth something.
+    """
+
+    unit: UnitId
+    service: ServiceName
+    indexes: tuple[int, ...]
+    resources: Resources
+    is_gang: bool
+    same_rack: bool
+    data_rack: str
+    label: str
+    max_per_worker: int
+    avoided: frozenset[WorkerId]
+    priority: int
+    account: AccountId
+    is_guaranteed: bool
+    arrived_at_s: float
+    estimate_s: float
+    latest_start_s: float
+    hopeless_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Snapshot:
+    """Everything that a plan depends on."""
+
+    now_s: float
+    candidates: tuple[Candidate, ...]
+    uses: tuple[Use, ...]
+    demands: tuple[Demand, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Start:
+    """Tasks of a unit to start, as pairs of index and worker."""
+
+    unit: UnitId
+    placement: tuple[tuple[int, WorkerId], ...]
+    is_spread: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Preemption:
+    """A run, or all runs of a gang, to stop in favour of another unit."""
+
+    victim: UnitId
+    index: int | None
+    beneficiary: UnitId
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """What to do now."""
+
+    starts: tuple[Start, ...] = ()
+    preemptions: tuple[Preemption, ...] = ()
--- /dev/null
+++ b/magnoliaglade/placement/_order.py
@@ -0,0 +1,43 @@
+"""In which order waiting work is considered.
+
+Answers the load pattern in which urgent bursts, large gangs and a smaller pool
+coincide: guaranteed work first, then by priority, and within a priority work
+that can still meet its objective before work that cannot.
+"""
+
+import enum
+
+from magnoliaglade.placement._model import Demand
+
+
+class Promise(enum.IntEnum):
+    """How far a demand can still be served; lower goes first."""
+
+    ON_TIME = 0
+    LATE = 1
+    HOPELESS = 2
+
+
+def promise_of(demand: Demand, *, now_s: float) -> Promise:
+    """Returns how far a demand that starts now would be served."""
+    if now_s <= demand.latest_start_s:
+        return Promise.ON_TIME
+    if now_s <= demand.hopeless_at_s:
+        return Promise.LATE
+    return Promise.HOPELESS
+
+
+def order_demands(demands: tuple[Demand, ...], *, now_s: float) -> list[Demand]:
+    """Returns the demands in the order in which they are placed."""
+
+    def key(demand: Demand) -> tuple[bool, int, int, float, float]:
+        promise = promise_of(demand, now_s=now_s)
+        return (
+            not demand.is_guaranteed,
+            demand.priority + (promise is Promise.HOPELESS) * 1_000,
+            promise,
+            demand.latest_start_s,
+            demand.arrived_at_s,
+        )
+
+    return sorted(demands, key=key)
--- /dev/null
+++ b/magnoliaglade/placement/_packing.py
@@ -0,0 +1,74 @@
+"""Packs the tasks of one demand onto workers that have room.
+
+Answers fragmentation: tasks go where they leave the least accelerators over,
+so that whole workers and racks stay free for large gangs.
+"""
+
+from collections.abc import Callable, Iterable
+
+from magnoliaglade.placement._model import Candidate, Demand
+from magnoliaglade.placement._room import Room
+from magnoliaglade.types import WorkerId
+
+Slots = Callable[[WorkerId], int]
+
+
+def pack(
+    demand: Demand,
+    candidates: Iterable[Candidate],
+    *,
+    room: Room,
+    slots: Slots,
+    count: int,
+) -> list[WorkerId] | None:
+    """Returns a worker for each of `count` tasks, or None if they don't fit.
+
+    Args:
+        demand: what is placed.
+        candidates: workers to choose from.
+        room: free capacity.
+        slots: tasks that fit on a worker.
+        count: number of tasks.
+    """
+    chosen: list[WorkerId] = []
+    for candidate in sorted(
+        candidates, key=lambda c: _preference(c, demand, room)
+    ):
+        fitting = min(slots(candidate.worker), count - len(chosen))
+        chosen.extend([candidate.worker] * fitting)
+        if len(chosen) == count:
+            return chosen
+    return None
+
+
+def pack_some(
+    demand: Demand,
+    candidates: Iterable[Candidate],
+    *,
+    room: Room,
+    slots: Slots,
+    count: int,
+) -> list[WorkerId]:
+    """Returns workers for as many of `count` tasks as fit."""
+    chosen: list[WorkerId] = []
+    for candidate in sorted(
+        candidates, key=lambda c: _preference(c, demand, room)
+    ):
+        fitting = min(slots(candidate.worker), count - len(chosen))
+        chosen.extend([candidate.worker] * fitting)
+    return chosen
+
+
+def _preference(
+    candidate: Candidate, demand: Demand, room: Room
+) -> tuple[float, bool, int, int, str]:
+    free = room.free[candidate.worker]
+    need = demand.resources.accelerators
+    left_over = free.accelerators % need if need else 0
+    return (
+        candidate.suspicion,
+        bool(demand.data_rack) and demand.data_rack not in candidate.labels,
+        left_over,
+        free.accelerators,
+        candidate.worker,
+    )
--- /dev/null
+++ b/magnoliaglade/placement/_planner.py
@@ -0,0 +1,323 @@
+"""Makes a plan: what starts where, and what is stopped for whom.
+
+Pure: the same snapshot gives the same plan.
+"""
+
+import functools
+from collections.abc import Iterable
+
+from magnoliaglade import base
+from magnoliaglade.placement import _order, _packing, _preemption
+from magnoliaglade.placement._model import (
+    Candidate,
+    Demand,
+    Plan,
+    Preemption,
+    Snapshot,
+    Start,
+    Use,
+)
+from magnoliaglade.placement._room import Room
+from magnoliaglade.types import WorkerId
+
+# Gangs that keep workers free for themselves at a time. One per pool would do
+# against starvation; two let a second large gang collect its rack meanwhile.
+RESERVATIONS = 2
+
+
+class Planner(base.Parameterized):
+    """Places waiting work by order, packing and preemption.
+
+    Attributes:
+        reservations: waiting gangs that keep workers free at a time.
+        loss_limit: most work thrown away for a demand without a guarantee, as
+            a share of the work that the demand will do.
+    """
+
+    _parameter_constraints = {
+        "reservations": [base.Interval(kind=int, low=0)],
+        "loss_limit": [base.Interval(kind=float, low=0)],
+    }
+
+    def __init__(
+        self, *, reservations: int = RESERVATIONS, loss_limit: float = 1.0
+    ) -> None:
+        self.reservations = reservations
+        self.loss_limit = loss_limit
+
+    def plan(self, snapshot: Snapshot) -> Plan:
+        """Returns starts and preemptions for a snapshot."""
+        return _Planning(planner=self, snapshot=snapshot).run()
+
+
+class _Planning:
+    """One pass over the demands of a snapshot."""
+
+    def __init__(self, *, planner: Planner, snapshot: Snapshot) -> None:
+        self.planner = planner
+        self.snapshot = snapshot
+        self.room = Room(snapshot=snapshot)
+        self.starts: list[Start] = []
+        self.preemptions: list[Preemption] = []
+        self.reserved = 0
+        self._stopped: set[tuple[object, object]] = set()
+
+    def run(self) -> Plan:
+        ordered = _order.order_demands(
+            self.snapshot.demands, now_s=self.snapshot.now_s
+        )
+        for demand in ordered:
+            if demand.is_gang:
+                self._place_gang(demand)
+            else:
+                self._place_tasks(demand)
+        return Plan(
+            starts=tuple(self.starts), preemptions=tuple(self.preemptions)
+        )
+
+    def _place_gang(self, demand: Demand) -> None:
+        groups = self._groups(demand)
+        for group in groups:
+            if self._start_in(demand, group):
+                return
+        if self._may_preempt(demand):
+            if any(self._wait_for_stops(demand, group) for group in groups):
+                return
+            if self._preempt(demand, groups):
+                return
+        everywhere = [c for group in groups for c in group]
+        if self._may_spread(demand, groups) and self._place_spread(
+            demand, everywhere
+        ):
+            return
+        self._reserve(demand, groups)
+
+    def _place_spread(self, demand: Demand, pool: list[Candidate]) -> bool:
+        if self._start_in(demand, pool):
+            return True
+        if not self._may_preempt(demand):
+            return False
+        return self._wait_for_stops(demand, pool) or self._preempt(
+            demand, [pool]
+        )
+
+    def _place_tasks(self, demand: Demand) -> None:
+        pool = [c for g in self.room.racks(demand).values() for c in g]
+        if demand.data_rack and not self._is_pressed(demand):
+            near = [c for c in pool if demand.data_rack in c.labels]
+            pool = near or pool
+        count = len(demand.indexes)
+        chosen = _packing.pack_some(
+            demand,
+            pool,
+            room=self.room,
+            slots=functools.partial(self.room.slots, demand),
+            count=count,
+        )
+        if chosen:
+            self._start(demand, chosen)
+        if len(chosen) < count and self._may_preempt(demand):
+            self._preempt_for_rest(demand, pool, count - len(chosen))
+
+    def _preempt_for_rest(
+        self, demand: Demand, pool: list[Candidate], count: int
+    ) -> None:
+        waiting = _packing.pack(
+            demand,
+            pool,
+            room=self.room,
+            slots=self._coming_slots(demand),
+            count=count,
+        )
+        if waiting is not None:
+            self.room.take(demand, waiting)
+            return
+        self._preempt(demand, [pool], count=count)
+
+    def _groups(self, demand: Demand) -> list[list[Candidate]]:
+        """Returns sets of workers to try, best first."""
+        racks = self.room.racks(demand)
+        if not demand.same_rack and not demand.data_rack:
+            return [[c for group in racks.values() for c in group]]
+        if not demand.same_rack:
+            near = [c for g in racks.values() for c in g if _is_near(c, demand)]
+            return [near] if near else []
+        groups = list(racks.values())
+        groups.sort(key=lambda g: self._group_key(demand, g))
+        if demand.data_rack and not self._is_pressed(demand):
+            groups = [g for g in groups if _is_near(g[0], demand)] or groups
+        return groups
+
+    def _group_key(
+        self, demand: Demand, group: list[Candidate]
+    ) -> tuple[bool, int, int]:
+        free = sum(max(0, self.room.free[c.worker].accelerators) for c in group)
+        suspects = sum(c.suspicion > 0 for c in group)
+        return (not _is_near(group[0], demand), free, suspects)
+
+    def _start_in(self, demand: Demand, group: list[Candidate]) -> bool:
+        chosen = _packing.pack(
+            demand,
+            group,
+            room=self.room,
+            slots=functools.partial(self.room.slots, demand),
+            count=len(demand.indexes),
+        )
+        if chosen is None:
+            return False
+        self._start(demand, chosen)
+        return True
+
+    def _start(self, demand: Demand, workers: list[WorkerId]) -> None:
+        self.room.take(demand, workers)
+        racks = {self.room.candidates[w].rack for w in workers}
+        self.starts.append(
+            Start(
+                unit=demand.unit,
+                placement=tuple(zip(demand.indexes, workers, strict=False)),
+                is_spread=demand.is_gang and len(racks) > 1,
+            )
+        )
+
+    def _coming_slots(self, demand: Demand) -> _packing.Slots:
+        return functools.partial(self.room.slots, demand, with_coming=True)
+
+    def _wait_for_stops(self, demand: Demand, group: list[Candidate]) -> bool:
+        """Keeps room that is about to become free for a demand."""
+        if not any(c.worker in self.room.coming for c in group):
+            return False
+        chosen = _packing.pack(
+            demand,
+            group,
+            room=self.room,
+            slots=self._coming_slots(demand),
+            count=len(demand.indexes),
+        )
+        if chosen is None:
+            return False
+        self.room.take(demand, chosen)
+        return True
+
+    def _may_preempt(self, demand: Demand) -> bool:
+        return demand.is_guaranteed or demand.priority == 0
+
+    def _preempt(
+        self,
+        demand: Demand,
+        groups: list[list[Candidate]],
+        *,
+        count: int | None = None,
+    ) -> bool:
+        """Stops the cheapest victims in the best of the groups."""
+        wanted = len(demand.indexes) if count is None else count
+        victims = _preemption.group_victims(self._uses(), demand)
+        options = [
+            (sum(v.loss for v in chosen), position, chosen)
+            for position, group in enumerate(groups)
+            if (
+                chosen := _preemption.choose_victims(
+                    demand,
+                    group,
+                    room=self.room,
+                    victims=victims,
+                    count=wanted,
+                )
+            )
+        ]
+        if not options:
+            return False
+        loss, position, chosen = min(options, key=lambda o: o[:2])
+        if not demand.is_guaranteed and loss > self._allowed_loss(demand):
+            return False
+        self._stop(chosen, demand)
+        freed = _preemption.freed_by(chosen)
+        for worker, resources in freed.items():
+            if worker in self.room.free:
+                before = self.room.coming.get(worker)
+                total = before + resources if before else resources
+                self.room.coming[worker] = total
+        placed = _packing.pack(
+            demand,
+            groups[position],
+            room=self.room,
+            slots=self._coming_slots(demand),
+            count=wanted,
+        )
+        self.room.take(demand, placed or ())
+        return True
+
+    def _allowed_loss(self, demand: Demand) -> float:
+        work = _preemption.core_seconds(demand.resources, demand.estimate_s)
+        return self.planner.loss_limit * work * len(demand.indexes)
+
+    def _uses(self) -> Iterable[Use]:
+        for use in self.snapshot.uses:
+            if (use.unit, None) in self._stopped:
+                continue
+            if (use.unit, use.index) in self._stopped:
+                continue
+            yield use
+
+    def _stop(self, victims: list[_preemption.Victim], demand: Demand) -> None:
+        for victim in victims:
+            self._stopped.add((victim.unit, victim.index))
+            self.preemptions.append(
+                Preemption(
+                    victim=victim.unit,
+                    index=victim.index,
+                    beneficiary=demand.unit,
+                )
+            )
+
+    def _is_pressed(self, demand: Demand) -> bool:
+        """Tells whether waiting for the best place would miss the objective."""
+        return demand.is_guaranteed or (
+            self.snapshot.now_s > demand.latest_start_s
+        )
+
+    def _may_spread(
+        self, demand: Demand, groups: list[list[Candidate]]
+    ) -> bool:
+        if len(groups) < 2:
+            return False
+        if self._is_pressed(demand):
+            return True
+        count = len(demand.indexes)
+        return not any(
+            sum(c.capacity.count_of(demand.resources) for c in g) >= count
+            for g in groups
+        )
+
+    def _reserve(self, demand: Demand, groups: list[list[Candidate]]) -> None:
+        """Keeps the group free that can hold a waiting gang first."""
+        if self.reserved >= self.planner.reservations or not groups:
+            return
+        options = []
+        for group in groups:
+            at_s = self._available_at_s(demand, group)
+            if at_s is not None:
+                options.append((at_s, group))
+        if not options:
+            return
+        at_s, group = min(options, key=lambda o: o[0])
+        self.room.block((c.worker for c in group), until_s=at_s)
+        self.reserved += 1
+
+    def _available_at_s(
+        self, demand: Demand, group: list[Candidate]
+    ) -> float | None:
+        """Returns when running work leaves room in a group, if ever."""
+        here = {c.worker for c in group}
+        free = {w: self.room.free[w] for w in here}
+        count = len(demand.indexes)
+        uses = [u for u in self.snapshot.uses if u.worker in here]
+        for use in sorted(uses, key=lambda u: u.ends_at_s):
+            free[use.worker] += use.demand
+            fitting = sum(f.count_of(demand.resources) for f in free.values())
+            if fitting >= count:
+                return max(use.ends_at_s, self.snapshot.now_s)
+        return None
+
+
+def _is_near(candidate: Candidate, demand: Demand) -> bool:
+    return not demand.data_rack or demand.data_rack in candidate.labels
--- /dev/null
+++ b/magnoliaglade/placement/_trust.py
@@ -0,0 +1,109 @@
+"""How far each worker is trusted, from the ends of runs and from stalls.
+
+Answers workers that report themselves healthy while they fail, or stand still
+with, everything they run.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+from magnoliaglade import base
+from magnoliaglade.types import JobId, WorkerId
+
+# Time after which half of the suspicion is forgotten, in seconds; faults of
+# workers last about as long.
+HALF_LIFE_S = 8.0
+# Suspicion from which a worker gets no tasks: failures of two jobs in a row.
+QUARANTINE_LEVEL = 1.5
+# A run that ends well leaves this share of the suspicion.
+PARDON = 0.3
+
+
+class Evidence(enum.Enum):
+    """What was seen of a worker, with its weight."""
+
+    SUCCESS = 0.0
+    FAILURE = 1.0
+    STALL = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Observation:
+    """Evidence about one worker from a run of one job."""
+
+    worker: WorkerId
+    job: JobId
+    evidence: Evidence
+    at_s: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Record:
+    level: float = 0.0
+    at_s: float = 0.0
+    jobs: set[JobId] = dataclasses.field(default_factory=set)
+
+
+class TrustEstimator(base.BaseEstimator):
+    """Estimates suspicion: 0 is sound, `quarantine_level` takes no tasks."""
+
+    _parameter_constraints = {
+        "half_life_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "quarantine_level": [base.Interval(kind=float, low=0, low_open=True)],
+    }
+
+    def __init__(
+        self,
+        *,
+        half_life_s: float = HALF_LIFE_S,
+        quarantine_level: float = QUARANTINE_LEVEL,
+    ) -> None:
+        self.half_life_s = half_life_s
+        self.quarantine_level = quarantine_level
+        self.records_: dict[WorkerId, _Record] = {}
+
+    def partial_fit(
+        self, observations: Iterable[Observation]
+    ) -> "TrustEstimator":
+        """Takes evidence into account."""
+        for observation in observations:
+            self._observe(observation)
+        return self
+
+    def predict(self, queries: Iterable[tuple[WorkerId, float]]) -> list[float]:
+        """Returns the suspicion for pairs of worker and time."""
+        return [self._level(w, at_s) for w, at_s in queries]
+
+    def suspicion(self, worker: WorkerId, at_s: float) -> float:
+        """Returns the suspicion of one worker at a time in seconds."""
+        return self._level(worker, at_s)
+
+    def is_quarantined(self, worker: WorkerId, at_s: float) -> bool:
+        """Tells whether a worker must get no tasks."""
+        return self._level(worker, at_s) >= self.quarantine_level
+
+    def forget(self, worker: WorkerId) -> None:
+        """Drops what is known, as for a new lifetime."""
+        self.records_.pop(worker, None)
+
+    def _observe(self, observation: Observation) -> None:
+        record = self.records_.setdefault(observation.worker, _Record())
+        level = self._level(observation.worker, observation.at_s)
+        if observation.evidence is Evidence.SUCCESS:
+            record.level = level * PARDON
+            record.jobs.clear()
+        elif observation.job in record.jobs:
+            # Repeated failures of one job say more about the job.
+            record.level = level
+        else:
+            record.level = level + observation.evidence.value
+            record.jobs.add(observation.job)
+        record.at_s = observation.at_s
+
+    def _level(self, worker: WorkerId, at_s: float) -> float:
+        record = self.records_.get(worker)
+        if record is None:
+            return 0.0
+        age_s = max(0.0, at_s - record.at_s)
+        return float(record.level * 0.5 ** (age_s / self.half_life_s))
--- a/magnoliaglade/platform/__init__.py
+++ b/magnoliaglade/platform/__init__.py
@@ -1,19 +1,27 @@
-"""Interfaces to the platform's workers and instance list, and HTTP clients."""
+"""Adapter to the users' platform: its names, formats and calls.
 
-from magnoliaglade.platform import codec, instance_list, worker
-from magnoliaglade.platform._http_instance_list import (
-    HttpInstanceList,
-    decode_listed,
+Nothing here decides anything, and nothing outside knows the platform's names.
+"""
+
+from magnoliaglade.platform._boot import load_settings, settings_path
+from magnoliaglade.platform._documents import (
+    OPERATOR_PREFIX,
+    WORKER_PREFIX,
+    decode_operator_state,
+    decode_workers,
 )
-from magnoliaglade.platform._http_worker import HttpWorker
-from magnoliaglade.platform._inventory import InstanceInventory
+from magnoliaglade.platform._front import FrontApi
+from magnoliaglade.platform._store import PlatformStore
+from magnoliaglade.platform._worker import PlatformWorker
 
 __all__ = [
-    "HttpInstanceList",
-    "HttpWorker",
-    "InstanceInventory",
-    "codec",
-    "decode_listed",
-    "instance_list",
-    "worker",
+    "OPERATOR_PREFIX",
+    "WORKER_PREFIX",
+    "FrontApi",
+    "PlatformStore",
+    "PlatformWorker",
+    "decode_operator_state",
+    "decode_workers",
+    "load_settings",
+    "settings_path",
 ]
--- /dev/null
+++ b/magnoliaglade/platform/_boot.py
@@ -0,0 +1,80 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import pathlib
+
+import orjson
+
+from magnoliaglade.instance import (
+    Address,
+    Bounds,
+    InstanceSettings,
+    InstanceSettingsError,
+)
+from magnoliaglade.platform._fields import Fields, MalformedError
+from magnoliaglade.types import InstanceId, ZoneId
+
+SETTINGS_VARIABLE = "MAGNOLIAGLADE_SETTINGS"
+DEFAULT_PATH = "/etc/magnoliaglade/boot.json"
+
+
+def settings_path() -> pathlib.Path:
+    """Returns the path of the settings file."""
+    return pathlib.Path(os.environ.get(SETTINGS_VARIABLE) or DEFAULT_PATH)
+
+
+def load_settings(path: pathlib.Path) -> InstanceSettings:
+    """Reads and checks the settings file.
+
+    Raises:
+        InstanceSettingsError: naming the file, the key and what is allowed.
+    """
+    try:
+        return _decode(Fields(data=orjson.loads(path.read_bytes())))
+    except (OSError, orjson.JSONDecodeError, MalformedError) as error:
+        raise InstanceSettingsError(f"{path}: {error}") from error
+
+
+def _decode(fields: Fields) -> InstanceSettings:
+    listen = fields.part("listen")
+    front = _address(listen, "front")
+    ports = fields.items("internalPorts")
+    if len(ports) != 2 or not all(isinstance(p, int) for p in ports):
+        raise MalformedError("internalPorts: two ports are expected")
+    return InstanceSettings(
+        instance=InstanceId(fields.text("node", is_required=True)),
+        zone=ZoneId(fields.text("zone", is_required=True)),
+        front=front,
+        ready=_address(listen, "ready"),
+        internal=Address(host=front.host, port=ports[0]),
+        store_address=str(_address(fields.part("platform"), "address")),
+        bounds=_bounds(fields.part("bounds"), fields),
+    )
+
+
+def _bounds(bounds: Fields, fields: Fields) -> Bounds:
+    default = Bounds()
+
+    def seconds(name: str, fallback: float, unit: float = 1.0) -> float:
+        return bounds.number(name) * unit or fallback
+
+    milli = 0.001
+    return Bounds(
+        longest_lease_s=seconds("holdMaxMs", default.longest_lease_s, milli),
+        revoke_s=seconds("revokeMs", default.revoke_s, milli),
+        stop_s=seconds("stopMs", default.stop_s, milli),
+        grace_s=seconds("graceS", default.grace_s),
+        status_s=seconds("status_s", default.status_s),
+        checkpoint_s=seconds("checkpointIntervalS", default.checkpoint_s),
+        restore_s=seconds("restoreMs", default.restore_s, milli),
+        far_factor=seconds("crossRackFactor", default.far_factor),
+        heartbeat_s=fields.number("heartbeatMs") * milli or default.heartbeat_s,
+    )
+
+
+def _address(fields: Fields, name: str) -> Address:
+    text = fields.text(name, is_required=True)
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise MalformedError(f"{name}: found {text!r}, host:port is allowed")
+    return Address(host=host, port=int(port))
--- /dev/null
+++ b/magnoliaglade/platform/_documents.py
@@ -0,0 +1,142 @@
+"""Documents in the platform's store that operators and executors write."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from magnoliaglade import fleet, observability, routing, store
+from magnoliaglade.jobs import Resources
+from magnoliaglade.platform._fields import Fields, MalformedError
+from magnoliaglade.routing import OperatorState
+from magnoliaglade.types import (
+    AccountId,
+    Lifetime,
+    QueueName,
+    RackId,
+    ServiceName,
+    WorkerId,
+    ZoneId,
+)
+
+OPERATOR_PREFIX = "op/"
+WORKER_PREFIX = "servers/"
+
+_CONFIGURATION_KEY = "op/config"
+_EVACUATION_PREFIX = "op/evacuate/"
+_READY = "ready"
+_DRAINING = "draining"
+
+
+def decode_operator_state(entries: Mapping[str, store.Entry]) -> OperatorState:
+    """Reads configuration and removed zones; a broken one reads as none."""
+    zones = frozenset(
+        ZoneId(key.removeprefix(_EVACUATION_PREFIX))
+        for key in entries
+        if key.startswith(_EVACUATION_PREFIX)
+    )
+    entry = entries.get(_CONFIGURATION_KEY)
+    if entry is None:
+        return OperatorState(configuration=None, removed_zones=zones)
+    try:
+        configuration = _configuration(_load(entry.value))
+    except MalformedError as error:
+        observability.log_state_change(
+            "configuration", state="unreadable", reason=str(error)
+        )
+        configuration = None
+    return OperatorState(configuration=configuration, removed_zones=zones)
+
+
+def decode_workers(entries: list[store.Entry]) -> list[fleet.ListedWorker]:
+    """Reads executors' entries; those of other writers are left out."""
+    found: list[fleet.ListedWorker] = []
+    for entry in entries:
+        try:
+            found.append(_worker(entry))
+        except MalformedError as error:
+            observability.log_state_change(
+                "worker entry",
+                state="ignored",
+                key=entry.key,
+                reason=str(error),
+            )
+    return found
+
+
+def decode_resources(fields: Fields) -> Resources:
+    """Reads capacity or demand."""
+    return Resources(
+        cores_m=fields.whole("cpu"),
+        memory_mb=fields.whole("memMb"),
+        accelerators=fields.whole("gpu"),
+    )
+
+
+def _load(value: bytes) -> Fields:
+    try:
+        return Fields(data=orjson.loads(value))
+    except orjson.JSONDecodeError as error:
+        raise MalformedError(f"no JSON: {error}") from error
+
+
+def _configuration(fields: Fields) -> routing.Configuration:
+    accounts = [_account(Fields(data=t)) for t in fields.items("tenants")]
+    return routing.Configuration(
+        version=fields.whole("version", is_required=True),
+        queues=tuple(_queue(Fields(data=r)) for r in fields.items("routes")),
+        services=frozenset(
+            ServiceName(Fields(data=s).text("name", is_required=True))
+            for s in fields.items("services")
+        ),
+        accounts={a.name: a for a in accounts},
+        max_body_bytes=fields.part("limits").whole("maxBodyBytes"),
+        accounts_by_key={d: a.name for a in accounts for d in a.key_digests},
+    )
+
+
+def _queue(fields: Fields) -> routing.Queue:
+    return routing.Queue(
+        name=QueueName(fields.text("name", is_required=True)),
+        host=fields.text("host"),
+        prefix=fields.text("prefix", is_required=True),
+        service=ServiceName(fields.text("service")),
+        priority=fields.whole("priority"),
+        max_attempts=max(1, fields.whole("maxAttempts")),
+        stretch=fields.number("stretch"),
+        objective_s=fields.number("sloMs") / 1000.0,
+        is_public=fields.flag("public"),
+        needs_advice=bool(fields.data.get("advice")),
+    )
+
+
+def _account(fields: Fields) -> routing.Account:
+    keys = [str(k) for k in fields.items("apiKeys")]
+    return routing.Account(
+        name=AccountId(fields.text("name", is_required=True)),
+        key_digests=frozenset(routing.digest_key(k) for k in keys),
+        guaranteed_accelerators=fields.part("guaranteed").whole("gpu"),
+    )
+
+
+def _worker(entry: store.Entry) -> fleet.ListedWorker:
+    fields = _load(entry.value)
+    state = fields.text("state", is_required=True)
+    if state not in (_READY, _DRAINING):
+        raise MalformedError(f"state: found {state!r}")
+    labels: list[Any] = fields.items("labels")
+    if not all(isinstance(x, str) for x in labels):
+        raise MalformedError("labels: texts are expected")
+    return fleet.ListedWorker(
+        worker=WorkerId(entry.key.removeprefix(WORKER_PREFIX)),
+        lifetime=Lifetime(fields.whole("born")),
+        address=fields.text("address", is_required=True),
+        service=ServiceName(fields.text("service", is_required=True)),
+        zone=ZoneId(fields.text("zone", is_required=True)),
+        # The kind of the executor comes first, its rack last.
+        rack=RackId(labels[-1] if labels else ""),
+        labels=frozenset(labels),
+        capacity=decode_resources(fields.part("capacity")),
+        is_draining=state == _DRAINING,
+        leaves_in_s=fields.number("drainRemainingMs") / 1000.0,
+    )
--- /dev/null
+++ b/magnoliaglade/platform/_submission.py
@@ -0,0 +1,74 @@
+"""Bodies of submissions."""
+
+import orjson
+
+from magnoliaglade.jobs import JobSpec, StepSpec
+from magnoliaglade.platform._documents import decode_resources
+from magnoliaglade.platform._fields import Fields, MalformedError
+
+# Limits of a submission; the platform states the first.
+MAX_PAYLOAD_BYTES = 4_000
+MAX_STEPS = 64
+MAX_TASKS = 4_096
+
+# What this version does not run: it is refused, never ignored.
+_UNSUPPORTED = ("fills", "targetMs", "mayMiss")
+
+
+class UnsupportedError(MalformedError):
+    """The submission asks for something that is not offered."""
+
+
+def decode_submission(body: bytes) -> JobSpec:
+    """Reads the body of a submission.
+
+    Raises:
+        MalformedError: naming the field and what is allowed.
+        UnsupportedError: it asks for something that is not offered.
+    """
+    try:
+        fields = Fields(data=orjson.loads(body))
+    except orjson.JSONDecodeError as error:
+        raise MalformedError(f"no JSON: {error}") from error
+    payload = fields.text("spec")
+    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise MalformedError(f"spec: more than {MAX_PAYLOAD_BYTES} bytes")
+    rows = fields.items("steps", is_required=True)
+    if not 1 <= len(rows) <= MAX_STEPS:
+        raise MalformedError(f"steps: found {len(rows)}, 1 to {MAX_STEPS}")
+    is_long_running = fields.flag("longRunning")
+    steps = tuple(
+        _step(Fields(data=row), number, is_long_running)
+        for number, row in enumerate(rows)
+    )
+    if sum(s.count for s in steps) > MAX_TASKS:
+        raise MalformedError(f"steps: more than {MAX_TASKS} tasks")
+    return JobSpec(
+        payload=payload,
+        steps=steps,
+        repetitions=fields.whole("repetitions"),
+        start_at_s=fields.number("startMs") / 1000.0,
+        interval_s=fields.number("intervalMs") / 1000.0,
+    )
+
+
+def _step(fields: Fields, number: int, is_long_running: bool) -> StepSpec:
+    for name in _UNSUPPORTED:
+        if fields.data.get(name):
+            raise UnsupportedError(f"{name}: is not offered")
+    after = fields.items("after")
+    if not all(isinstance(i, int) and 0 <= i < number for i in after):
+        raise MalformedError("after: numbers of earlier steps are allowed")
+    return StepSpec(
+        count=fields.whole("count", is_required=True, low=1),
+        demand=decode_resources(fields),
+        estimate_s=fields.number("estimateMs") / 1000.0,
+        after=tuple(after),
+        is_gang=fields.flag("gang"),
+        same_rack=fields.flag("sameRack"),
+        data_rack=fields.text("dataRack"),
+        label=fields.text("requires"),
+        max_per_worker=fields.whole("maxPerServer"),
+        is_checkpointable=fields.flag("checkpointable"),
+        is_long_running=is_long_running or fields.flag("longRunning"),
+    )
--- /dev/null
+++ b/magnoliaglade/platform/_worker.py
@@ -0,0 +1,177 @@
+"""The platform's executors behind the `WorkerClient` interface."""
+
+from typing import Any
+
+import orjson
+
+from magnoliaglade import fleet, http
+from magnoliaglade.jobs import RunOutcome
+from magnoliaglade.types import Epoch, Lifetime, WorkerId
+
+# Time for the answer to an order in seconds, beyond any wait that it asks for.
+CALL_TIMEOUT_S = 0.6
+# Ends that an executor lists at a time.
+_ENDS_PER_ANSWER = 500
+
+_OK = 200
+_BAD_REQUEST = 400
+_CONFLICT = 409
+_MISDIRECTED = 421
+
+_REASONS = {
+    "fence": fleet.OrderOutcome.FENCED,
+    "old": fleet.OrderOutcome.SUPERSEDED,
+    "late": fleet.OrderOutcome.LATE,
+    "room": fleet.OrderOutcome.NO_ROOM,
+    "ticket": fleet.OrderOutcome.INVALID,
+}
+
+
+class PlatformWorker:
+    """Calls one lifetime of one executor."""
+
+    def __init__(
+        self,
+        *,
+        worker: WorkerId,
+        address: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self.worker = worker
+        self.address = address
+        self.call_timeout_s = call_timeout_s
+        self._client = http.HttpClient(
+            url=f"http://{address}", timeout_s=call_timeout_s
+        )
+
+    async def observe(
+        self,
+        *,
+        epoch: Epoch,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+    ) -> fleet.WorkerReport:
+        """See `WorkerClient.observe`."""
+        body: dict[str, Any] = {"fence": epoch, "lastSeen": acknowledged}
+        if lease_until_ms is not None:
+            body["untilMs"] = lease_until_ms
+        if wait_s > 0:
+            body["waitMs"] = int(wait_s * 1000)
+        status, reply = await self._post(
+            "/api/hold", body, timeout_s=self.call_timeout_s + wait_s
+        )
+        if status == _CONFLICT:
+            raise fleet.WorkerFencedError(f"{self.worker}: {reply!r}")
+        if status != _OK:
+            raise fleet.OrderUnknownError(f"{self.worker}: status {status}")
+        return self._report(reply)
+
+    async def start(self, order: fleet.StartOrder) -> fleet.OrderReply:
+        """See `WorkerClient.start`."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "untilMs": order.lease_until_ms,
+            "fence": order.epoch,
+        }
+        if order.checkpoint:
+            body["lastCheckpoint"] = order.checkpoint
+        return _order_reply(*await self._post("/api/run-start", body))
+
+    async def stop(
+        self, *, task: str, run: int, epoch: Epoch
+    ) -> fleet.OrderReply:
+        """See `WorkerClient.stop`."""
+        body = {"task": task, "run": run, "fence": epoch}
+        return _order_reply(*await self._post("/api/run-stop", body))
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._client.stop()
+
+    async def _post(
+        self, path: str, body: dict[str, Any], *, timeout_s: float | None = None
+    ) -> tuple[int, Any]:
+        try:
+            reply = await self._client.call(
+                "POST",
+                path,
+                body=orjson.dumps(body),
+                headers={"Expect-Instance": self.worker},
+                content_type="application/json",
+                timeout_s=timeout_s,
+            )
+        except http.NotSentError as error:
+            raise fleet.WorkerNotReachedError(str(error)) from error
+        except http.NoAnswerError as error:
+            raise fleet.OrderUnknownError(str(error)) from error
+        if reply.status == _MISDIRECTED:
+            raise fleet.WorkerReplacedError(self.worker)
+        return reply.status, _parse(reply.body)
+
+    def _report(self, reply: Any) -> fleet.WorkerReport:
+        try:
+            ended = tuple(_end(row) for row in reply.get("ended", ()))
+            return fleet.WorkerReport(
+                lifetime=Lifetime(int(reply.get("born", 0))),
+                clock_ms=int(reply["clockMs"]),
+                running=tuple(_status(r) for r in reply.get("running", ())),
+                ended=ended,
+                is_complete=len(ended) < _ENDS_PER_ANSWER,
+            )
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise fleet.OrderUnknownError(
+                f"{self.worker}: broken report: {error!r}"
+            ) from error
+
+
+def _parse(body: bytes) -> Any:
+    if not body:
+        return {}
+    try:
+        reply = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise fleet.OrderUnknownError(f"broken body: {error}") from error
+    return reply if isinstance(reply, dict) else {}
+
+
+def _order_reply(status: int, reply: dict[str, Any]) -> fleet.OrderReply:
+    clock_ms = int(reply.get("clockMs") or 0)
+    if status == _OK:
+        outcome = fleet.OrderOutcome.DONE
+    elif status == _CONFLICT:
+        outcome = _REASONS.get(
+            str(reply.get("reason")), fleet.OrderOutcome.INVALID
+        )
+    elif status == _BAD_REQUEST:
+        outcome = fleet.OrderOutcome.INVALID
+    elif status in (429, 503):
+        outcome = fleet.OrderOutcome.UNHEALTHY
+    else:
+        raise fleet.OrderUnknownError(f"status {status}")
+    return fleet.OrderReply(outcome=outcome, clock_ms=clock_ms)
+
+
+def _status(row: list[Any]) -> fleet.RunStatus:
+    # The last entry is the work done of a task that ends, and the start-up
+    # done of one that does not; its name on the wire is that of a pace.
+    task, run, checkpoint, percent, *_ = row
+    return fleet.RunStatus(
+        task=str(task),
+        run=int(run),
+        checkpoint=str(checkpoint or ""),
+        percent=float(percent),
+    )
+
+
+def _end(row: list[Any]) -> fleet.RunEnd:
+    number, task, run, how, checkpoint, *_ = row
+    return fleet.RunEnd(
+        number=int(number),
+        task=str(task),
+        run=int(run),
+        outcome=RunOutcome(how),
+        checkpoint=str(checkpoint or ""),
+    )
--- /dev/null
+++ b/magnoliaglade/routing/__init__.py
@@ -0,0 +1,21 @@
+"""Which queue, service and client account a call belongs to."""
+
+from magnoliaglade.routing._configuration import (
+    Account,
+    Configuration,
+    Queue,
+    digest_key,
+)
+from magnoliaglade.routing._follower import (
+    ConfigurationFollower,
+    OperatorState,
+)
+
+__all__ = [
+    "Account",
+    "Configuration",
+    "ConfigurationFollower",
+    "OperatorState",
+    "Queue",
+    "digest_key",
+]
--- /dev/null
+++ b/magnoliaglade/routing/_configuration.py
@@ -0,0 +1,89 @@
+"""The operators' configuration of queues, services and client accounts."""
+
+import dataclasses
+import hashlib
+from collections.abc import Mapping
+
+from magnoliaglade.types import AccountId, QueueName, ServiceName
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Queue:
+    """A route that takes jobs.
+
+    Attributes:
+        name: name of the queue.
+        host: value of the Host header.
+        prefix: beginning of the path; the longest match wins.
+        service: pool of workers that runs its jobs.
+        priority: 0 comes first.
+        max_attempts: failed runs of a task, or gang, that fail a job.
+        stretch: factor on the shortest run time in the objective.
+        objective_s: seconds added to it.
+        is_public: calls need no key.
+        needs_advice: only an advisory service knows the allowed workers.
+    """
+
+    name: QueueName
+    host: str
+    prefix: str
+    service: ServiceName
+    priority: int
+    max_attempts: int
+    stretch: float
+    objective_s: float
+    is_public: bool = False
+    needs_advice: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Account:
+    """A client account.
+
+    Attributes:
+        name: id.
+        key_digests: digests of its keys, see `digest_key`.
+        guaranteed_accelerators: accelerators that it can always have back for
+            jobs of priority 0.
+    """
+
+    name: AccountId
+    key_digests: frozenset[bytes]
+    guaranteed_accelerators: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """One version of the configuration; later versions have higher numbers."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    services: frozenset[ServiceName]
+    accounts: Mapping[AccountId, Account]
+    max_body_bytes: int
+    accounts_by_key: Mapping[bytes, AccountId]
+
+    def match(self, host: str, path: str) -> Queue | None:
+        """Returns the queue with the longest prefix of a path, if any."""
+        found = [
+            q
+            for q in self.queues
+            if q.host == host and path.startswith(q.prefix)
+        ]
+        return max(found, key=lambda q: len(q.prefix), default=None)
+
+    def queue(self, name: QueueName) -> Queue | None:
+        """Returns a queue by name."""
+        return next((q for q in self.queues if q.name == name), None)
+
+    def account_of(self, key: str) -> AccountId | None:
+        """Returns the account that a key belongs to.
+
+        The look-up is by digest, so its time tells nothing about the keys.
+        """
+        return self.accounts_by_key.get(digest_key(key))
+
+
+def digest_key(key: str) -> bytes:
+    """Returns the digest under which a key is kept."""
+    return hashlib.sha256(key.encode("utf-8", "replace")).digest()
--- a/magnoliaglade/store/__init__.py
+++ b/magnoliaglade/store/__init__.py
@@ -7,13 +7,16 @@
 
 from magnoliaglade.store._errors import (
     ConflictError,
+    HistoryLostError,
     LeaseLapsedError,
     LeaseLostError,
     LogFencedError,
     LogUnavailableError,
     StoreError,
+    StoreThrottledError,
     StoreUnavailableError,
     StoreUnknownError,
+    TransactionConflictError,
 )
 from magnoliaglade.store._http import HttpStore
 from magnoliaglade.store._lease import InstanceLease
@@ -24,13 +27,22 @@
 from magnoliaglade.store._stamped import Stamp, StampedWriter
 from magnoliaglade.store._stamped import pack as pack_stamped
 from magnoliaglade.store._stamped import unpack as unpack_stamped
-from magnoliaglade.store.base import Entry, Event, EventKind, Store
+from magnoliaglade.store._watching import PrefixWatcher
+from magnoliaglade.store.base import (
+    Entry,
+    Event,
+    EventKind,
+    Put,
+    Store,
+    TransactionalStore,
+)
 
 __all__ = [
     "ConflictError",
     "Entry",
     "Event",
     "EventKind",
+    "HistoryLostError",
     "HttpStore",
     "InMemoryStore",
     "InstanceLease",
@@ -41,13 +53,18 @@
     "MonitoredStore",
     "Owned",
     "Ownership",
+    "PrefixWatcher",
+    "Put",
     "SingleWriterLog",
     "Stamp",
     "StampedWriter",
     "Store",
     "StoreError",
+    "StoreThrottledError",
     "StoreUnavailableError",
     "StoreUnknownError",
+    "TransactionConflictError",
+    "TransactionalStore",
     "pack_stamped",
     "unpack_stamped",
 ]
--- a/magnoliaglade/store/_errors.py
+++ b/magnoliaglade/store/_errors.py
@@ -1,6 +1,9 @@
 """Errors of the store layer."""
 
+from collections.abc import Mapping
+
 from magnoliaglade import exceptions
+from magnoliaglade.store.base import Entry
 
 
 class StoreError(exceptions.MagnoliagladeError):
@@ -21,6 +24,22 @@
         self.actual = actual
 
 
+class TransactionConflictError(StoreError):
+    """A transaction found another revision of an expected key.
+
+    Attributes:
+        entries: current entries of the expected keys; None if absent.
+    """
+
+    def __init__(self, *, entries: Mapping[str, Entry | None]) -> None:
+        super().__init__(f"conflict on one of {sorted(entries)}")
+        self.entries = dict(entries)
+
+
+class HistoryLostError(StoreError):
+    """The store no longer keeps the changes that a watch asked for."""
+
+
 class LeaseLostError(StoreError):
     """The store does not know the lease; it has expired or was revoked."""
 
@@ -29,6 +48,10 @@
     """The store refused the call or was not reached; nothing happened."""
 
 
+class StoreThrottledError(StoreUnavailableError):
+    """The store refused the call because of its rate limit."""
+
+
 class StoreUnknownError(StoreError):
     """The call timed out or its answer broke off; a write may be in."""
 
--- a/magnoliaglade/store/_memory.py
+++ b/magnoliaglade/store/_memory.py
@@ -3,11 +3,17 @@
 import asyncio
 import collections
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.store import _errors
-from magnoliaglade.store.base import MAX_VALUE_BYTES, Entry, Event, EventKind
+from magnoliaglade.store.base import (
+    MAX_VALUE_BYTES,
+    Entry,
+    Event,
+    EventKind,
+    Put,
+)
 from magnoliaglade.types import LeaseId
 
 # Changes kept for watchers that come back after a gap.
@@ -74,6 +80,36 @@
         self._check_expected(key, expected)
         self._remove([key])
 
+    async def transact(
+        self,
+        *,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """See `TransactionalStore.transact`."""
+        self._count("transact")
+        current = {k: self._entries.get(k) for k in expected}
+        revisions = {k: e.revision if e else 0 for k, e in current.items()}
+        if revisions != dict(expected):
+            raise _errors.TransactionConflictError(entries=current)
+        for put in puts:
+            if put.lease is not None and put.lease not in self._leases:
+                raise _errors.LeaseLostError(str(put.lease))
+        self._revision += 1
+        for put in puts:
+            self._entries[put.key] = Entry(
+                key=put.key,
+                value=put.value,
+                revision=self._revision,
+                lease=put.lease,
+            )
+            self._publish(EventKind.PUT, put.key, put.value)
+        for key in deletes:
+            if self._entries.pop(key, None) is not None:
+                self._publish(EventKind.DELETE, key, b"")
+        return self._revision
+
     async def grant_lease(self, ttl_s: float) -> LeaseId:
         """See `Store.grant_lease`."""
         self._count("grant_lease")
--- a/magnoliaglade/store/base.py
+++ b/magnoliaglade/store/base.py
@@ -8,11 +8,20 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from magnoliaglade.types import LeaseId
 
-__all__ = ["MAX_VALUE_BYTES", "Entry", "Event", "EventKind", "Store"]
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "Entry",
+    "Event",
+    "EventKind",
+    "Put",
+    "Store",
+    "TransactionalStore",
+]
 
 # Largest value that the service accepts.
 MAX_VALUE_BYTES = 1_000_000
@@ -45,6 +54,15 @@
     value: bytes = b""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Put:
+    """One write of a transaction."""
+
+    key: str
+    value: bytes
+    lease: LeaseId | None = None
+
+
 class Store(Protocol):
     """Key-value service with compare-and-swap, leases and watches.
 
@@ -107,4 +125,31 @@
 
         Waits up to `wait_s` seconds for the first one and returns an empty
         list if there is none.
+
+        Raises:
+            HistoryLostError: changes after `after` are no longer kept.
+        """
+
+
+class TransactionalStore(Store, Protocol):
+    """A store that also changes several keys at once."""
+
+    async def transact(
+        self,
+        *,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> int:
+        """Applies all writes, or none, and returns their revision.
+
+        Args:
+            expected: revision that each key must have; 0 stands for a key
+                that does not exist.
+            puts: values to write.
+            deletes: keys to remove.
+
+        Raises:
+            TransactionConflictError: a key has another revision.
+            LeaseLostError: the lease of a write has ended.
         """
--- a/magnoliaglade/types.py
+++ b/magnoliaglade/types.py
@@ -9,9 +9,12 @@
     "InstanceId",
     "JobId",
     "LeaseId",
+    "Lifetime",
+    "QueueName",
     "RackId",
     "RequestId",
     "Revision",
+    "ServiceName",
     "TaskId",
     "UpstreamId",
     "WorkerId",
@@ -24,9 +27,12 @@
 InstanceId = NewType("InstanceId", str)
 JobId = NewType("JobId", str)
 LeaseId = NewType("LeaseId", str)
+Lifetime = NewType("Lifetime", int)
+QueueName = NewType("QueueName", str)
 RackId = NewType("RackId", str)
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
+ServiceName = NewType("ServiceName", str)
 TaskId = NewType("TaskId", str)
 UpstreamId = NewType("UpstreamId", str)
 WorkerId = NewType("WorkerId", str)
