--- /dev/null
+++ b/magnoliaglade/coordinator/tests/test_coordinator.py
@@ -0,0 +1,359 @@
+import contextlib
+
+import pytest
+
+from magnoliaglade.coordinator.tests import harness
+from magnoliaglade.jobs import JobState
+
+
+@pytest.fixture
+async def deployment():
+    found = harness.Deployment()
+    yield found
+    await found.stop()
+
+
+class TestCalmDay:
+    async def test_a_job_runs_to_its_end(self, deployment):
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        assert await deployment.state(job) is JobState.RUNNING
+        await deployment.clock.advance(5.0)
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_steps_run_in_order(self, deployment):
+        # Guards against a start before the steps in `after` are complete.
+        await deployment.elect()
+        job = await deployment.submit(
+            harness.make_job(
+                "a",
+                harness.make_step(count=2),
+                harness.make_step(after=(0,)),
+            )
+        )
+        await deployment.clock.advance(12.0)
+        starts = deployment.starts(job)
+        assert [s.task.split(".")[2] for s in starts] == ["0", "0", "1"]
+        assert starts[2].at_s >= starts[0].at_s + 4.0
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_a_gang_starts_whole_with_one_run_number(self, deployment):
+        await deployment.elect()
+        job = await deployment.submit(
+            harness.make_job(
+                "a", harness.make_step(count=3, accelerators=8, is_gang=True)
+            )
+        )
+        await deployment.clock.advance(1.0)
+        assert {s.run for s in deployment.starts(job)} == {1}
+        assert len(deployment.starts(job)) == 3
+
+    async def test_occurrences_wait_for_their_time(self, deployment):
+        # Guards against a start before an occurrence is due.
+        await deployment.elect()
+        due_s = deployment.clock.time() + 3.0
+        job = await deployment.submit(
+            harness.make_job(
+                "a", repetitions=2, start_at_s=due_s, interval_s=2.0
+            )
+        )
+        await deployment.clock.advance(12.0)
+        at_s = [s.at_s for s in deployment.starts(job)]
+        assert len(at_s) == 2
+        assert due_s <= at_s[0] <= due_s + 0.5
+        assert due_s + 2.0 <= at_s[1] <= due_s + 2.5
+
+
+class TestCancellation:
+    async def test_running_tasks_are_stopped(self, deployment):
+        # Guards against a task that runs on after its cancelling.
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        await deployment.cancel(job)
+        await deployment.clock.advance(1.0)
+        assert await deployment.state(job) is JobState.CANCELLED
+        assert not any(e.running for e in deployment.engines.values())
+
+    async def test_nothing_starts_after_a_cancelling(self, deployment):
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.cancel(job)
+        await deployment.elect()
+        await deployment.clock.advance(3.0)
+        assert deployment.starts(job) == []
+        assert await deployment.state(job) is JobState.CANCELLED
+
+    async def test_a_lost_stop_is_repeated(self, deployment):
+        # Guards against a stop that is sent once and lost.
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        for engine in deployment.engines.values():
+            engine.faults.is_cut = True
+        await deployment.cancel(job)
+        await deployment.clock.advance(1.0)
+        for engine in deployment.engines.values():
+            engine.faults.is_cut = False
+        await deployment.clock.advance(1.0)
+        assert not any(e.running for e in deployment.engines.values())
+
+
+class TestTakeover:
+    async def test_running_tasks_are_adopted(self, deployment):
+        # Guards against a second start of a task that still runs.
+        first = await deployment.elect()
+        job = await deployment.submit(
+            harness.make_job("a", harness.make_step(count=3, is_gang=True))
+        )
+        await deployment.clock.advance(1.0)
+        await deployment.kill(first)
+        await deployment.clock.advance(2.0)
+        await deployment.elect()
+        await deployment.clock.advance(5.0)
+        assert len(deployment.starts(job)) == 3
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_a_planned_start_that_was_not_sent_is_made_again(
+        self, deployment
+    ):
+        # Guards against a task that nobody starts because a predecessor
+        # stored its start and died before sending it.
+        for engine in deployment.engines.values():
+            engine.faults.defers_orders = True
+        first = await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.3)
+        await deployment.kill(first)
+        for engine in deployment.engines.values():
+            engine.faults.defers_orders = False
+            engine.deferred.clear()
+        await deployment.elect()
+        await deployment.clock.advance(2.0)
+        assert [s.run for s in deployment.starts(job)] == [2]
+
+    async def test_a_late_order_of_the_predecessor_starts_nothing(
+        self, deployment
+    ):
+        # Guards against two runs of a task after a takeover.
+        for engine in deployment.engines.values():
+            engine.faults.defers_orders = True
+        first = await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.3)
+        await deployment.kill(first)
+        for engine in deployment.engines.values():
+            engine.faults.defers_orders = False
+        await deployment.elect()
+        await deployment.clock.advance(1.0)
+        for engine in deployment.engines.values():
+            engine.deliver_deferred()
+        await deployment.clock.advance(1.0)
+        assert len(deployment.starts(job)) == 1
+
+    async def test_a_silent_worker_keeps_its_runs_until_the_lease_ends(
+        self, deployment
+    ):
+        # Guards against a second run while a worker that is cut off runs on.
+        first = await deployment.elect()
+        deployment.duration_s = 60.0
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        task = f"{job}.0.0.0"
+        (holder,) = deployment.where(task)
+        deployment.engines[holder].faults.is_cut = True
+        await deployment.kill(first)
+        await deployment.elect()
+        for _ in range(200):
+            await deployment.clock.advance(0.1)
+            assert len(deployment.where(task)) <= 1
+        assert deployment.where(task) not in ([], [holder])
+
+    async def test_a_replaced_coordinator_ends(self, deployment):
+        first = await deployment.elect()
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(2.0)
+        (_, task), _ = deployment.terms
+        assert task.done()
+        assert len(deployment.starts(job)) == 1
+        assert first.epoch < deployment.starts(job)[0].epoch
+
+    async def test_stops_of_a_cancelled_job_are_taken_over(self, deployment):
+        # Guards against a task of a cancelled job that runs on because the
+        # coordinator died before it sent the stop.
+        first = await deployment.elect()
+        deployment.duration_s = 60.0
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        await deployment.kill(first)
+        await deployment.cancel(job)
+        await deployment.elect()
+        await deployment.clock.advance(1.0)
+        assert deployment.where(f"{job}.0.0.0") == []
+
+
+class TestLostAnswers:
+    async def test_a_start_without_an_answer_is_found(self, deployment):
+        # Guards against a second run when only the answer was lost.
+        await deployment.elect()
+        await deployment.clock.advance(0.5)
+        for engine in deployment.engines.values():
+            engine.faults.loses_answers = True
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.1)
+        for engine in deployment.engines.values():
+            engine.faults.loses_answers = False
+        await deployment.clock.advance(6.0)
+        assert len(deployment.starts(job)) == 1
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_an_order_that_is_late_is_stopped_before_a_new_run(
+        self, deployment
+    ):
+        # Guards against a late start beside a newer run elsewhere.
+        await deployment.elect()
+        deployment.duration_s = 30.0
+        await deployment.clock.advance(0.5)
+        for engine in deployment.engines.values():
+            engine.faults.defers_orders = True
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.1)
+        for engine in deployment.engines.values():
+            engine.faults.defers_orders = False
+        await deployment.clock.advance(5.0)
+        for engine in deployment.engines.values():
+            engine.deliver_deferred()
+        await deployment.clock.advance(1.0)
+        assert len(deployment.starts(job)) == 1
+        assert len(deployment.where(f"{job}.0.0.0")) == 1
+
+
+class TestWorkers:
+    async def test_a_restart_under_the_same_id_is_seen(self, deployment):
+        # Guards against runs that are waited for on a worker that forgot them.
+        await deployment.elect()
+        deployment.duration_s = 8.0
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        (holder,) = deployment.where(f"{job}.0.0.0")
+        deployment.engines[holder].restart()
+        await deployment.clock.advance(3.0)
+        assert [s.run for s in deployment.starts(job)] == [1, 2]
+
+    async def test_a_retry_avoids_the_worker_that_failed(self, deployment):
+        # Guards against a job that spends all attempts on one bad worker.
+        await deployment.elect()
+        for engine in list(deployment.engines.values())[:1]:
+            engine.faults.fails_all = True
+        jobs = [
+            await deployment.submit(harness.make_job(f"j{i}", max_attempts=2))
+            for i in range(6)
+        ]
+        await deployment.clock.advance(20.0)
+        states = [await deployment.state(j) for j in jobs]
+        assert set(states) == {JobState.COMPLETED}
+
+    async def test_a_job_that_always_fails_ends_as_failed(self, deployment):
+        await deployment.elect()
+        for engine in deployment.engines.values():
+            engine.faults.fails_all = True
+        job = await deployment.submit(harness.make_job("a", max_attempts=3))
+        await deployment.clock.advance(30.0)
+        assert await deployment.state(job) is JobState.FAILED
+        assert len(deployment.starts(job)) == 3
+
+    async def test_a_run_that_stands_still_moves(self, deployment):
+        # Guards against a worker that answers while its tasks hang.
+        await deployment.elect()
+        for engine in list(deployment.engines.values())[:3]:
+            engine.faults.stands_still = True
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(30.0)
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_a_draining_worker_gets_nothing(self, deployment):
+        await deployment.elect()
+        await deployment.clock.advance(1.0)
+        for name in ("w0", "w1", "w2"):
+            deployment.engines[name].is_draining = True
+            deployment.engines[name].leaves_in_s = 30.0
+        await deployment.clock.advance(1.0)
+        job = await deployment.submit(
+            harness.make_job("a", harness.make_step(count=6))
+        )
+        await deployment.clock.advance(1.0)
+        assert {s.task for s in deployment.engines["w3"].starts} == {
+            f"{job}.0.0.{i}" for i in range(6)
+        }
+
+    async def test_a_removed_zone_gets_nothing(self, deployment):
+        await deployment.elect()
+        deployment.removed_zones.add("a")
+        await deployment.clock.advance(1.0)
+        await deployment.submit(
+            harness.make_job("a", harness.make_step(count=6))
+        )
+        await deployment.clock.advance(1.0)
+        zones = {e.zone for e in deployment.engines.values() if e.starts}
+        assert zones == {"b"}
+
+
+class TestCapacity:
+    async def test_stops_count_until_they_are_listed(self, deployment):
+        # Guards against a start on capacity that a stopping run still uses.
+        await deployment.elect()
+        deployment.duration_s = 30.0
+        for i in range(4):
+            await deployment.submit(
+                harness.make_job(f"low{i}", harness.make_step(accelerators=8))
+            )
+        await deployment.clock.advance(1.0)
+        urgent = await deployment.submit(
+            harness.make_job(
+                "urgent", harness.make_step(accelerators=8), priority=0
+            )
+        )
+        for _ in range(100):
+            await deployment.clock.advance(0.02)
+            assert all(len(e.running) <= 1 for e in deployment.engines.values())
+        assert len(deployment.starts(urgent)) == 1
+
+
+class TestStoreTroubles:
+    async def test_nothing_starts_that_is_not_stored(self, deployment):
+        # Guards against a start that a successor could not know of.
+        faulty = deployment.faulty_store()
+        await deployment.elect(used_store=faulty)
+        job = await deployment.submit(harness.make_job("a"))
+        faulty.is_down = True
+        await deployment.clock.advance(3.0)
+        assert deployment.starts(job) == []
+        faulty.is_down = False
+        await deployment.clock.advance(3.0)
+        assert len(deployment.starts(job)) == 1
+
+    async def test_ends_are_acknowledged_once_stored(self, deployment):
+        # Guards against an end that only a dead coordinator knew.
+        faulty = deployment.faulty_store()
+        first = await deployment.elect(used_store=faulty)
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(3.0)
+        faulty.is_down = True
+        await deployment.clock.advance(2.5)
+        await deployment.kill(first)
+        await deployment.elect()
+        await deployment.clock.advance(1.0)
+        assert await deployment.state(job) is JobState.COMPLETED
+        assert len(deployment.starts(job)) == 1
+
+    async def test_ended_jobs_are_removed_after_retention(self, deployment):
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(6.0)
+        assert await deployment.state(job) is JobState.COMPLETED
+        for _ in range(17):
+            await deployment.clock.advance(10.0)
+        with contextlib.suppress(KeyError):
+            entries, _ = await deployment.store.list_prefix("magnoliaglade/")
+            assert not [e for e in entries if str(job) in e.key]
--- a/magnoliaglade/standins/_faulty_store.py
+++ b/magnoliaglade/standins/_faulty_store.py
@@ -1,12 +1,15 @@
 """Store wrapper that brings about the store's failures."""
 
 import collections
+import contextlib
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import store as store_lib
 
-_WRITES = frozenset({"put", "delete", "grant_lease", "revoke_lease"})
+_WRITES = frozenset(
+    {"put", "delete", "transact", "grant_lease", "revoke_lease"}
+)
 
 
 class FaultyStore:
@@ -19,6 +22,8 @@
             `StoreUnknownError`.
         lost_requests: number of coming writes that raise `StoreUnknownError`
             and have no effect.
+        defers_writes: writes raise `StoreUnknownError` and wait for
+            `deliver_deferred`.
         call_counts: calls by method name, refused ones included.
     """
 
@@ -31,6 +36,8 @@
         self.delay_s = 0.0
         self.lost_answers = 0
         self.lost_requests = 0
+        self.defers_writes = False
+        self._deferred: list[tuple[str, Any, Any]] = []
         self.call_counts: collections.Counter[str] = collections.Counter()
 
     async def get(self, key: str) -> store_lib.Entry | None:
@@ -49,6 +56,17 @@
         """See `Store.delete`."""
         await self._call("delete", key, **options)
 
+    async def transact(self, **options: Any) -> int:
+        """See `TransactionalStore.transact`."""
+        return await self._call("transact", **options)
+
+    async def deliver_deferred(self) -> None:
+        """Carries out deferred writes whose conditions still hold."""
+        writes, self._deferred = self._deferred, []
+        for name, args, options in writes:
+            with contextlib.suppress(store_lib.StoreError):
+                await getattr(self.store, name)(*args, **options)
+
     async def grant_lease(self, ttl_s: float) -> Any:
         """See `Store.grant_lease`."""
         return await self._call("grant_lease", ttl_s)
@@ -71,6 +89,9 @@
             raise store_lib.StoreUnavailableError("store is down")
         if self.delay_s:
             await self.clock.sleep(self.delay_s)
+        if name in _WRITES and self.defers_writes:
+            self._deferred.append((name, args, options))
+            raise store_lib.StoreUnknownError("deferred")
         if name in _WRITES and self.lost_requests > 0:
             self.lost_requests -= 1
             raise store_lib.StoreUnknownError("request lost")
