Refuse at once while the store is known to be down

Change: the gateway asks the monitored store whether an outage is under way and refuses truthfully before anything is sent, with a return time that grows with the outage.

--- a/magnoliaglade/gateway/__init__.py
+++ b/magnoliaglade/gateway/__init__.py
@@ -1,7 +1,6 @@
 """The part of an instance that callers talk to."""
 
 from magnoliaglade.gateway._gateway import (
-    RETRY_AFTER_S,
     CountAnswer,
     Gateway,
     StateAnswer,
@@ -9,7 +8,6 @@
 )
 
 __all__ = [
-    "RETRY_AFTER_S",
     "CountAnswer",
     "Gateway",
     "StateAnswer",
--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -21,9 +21,14 @@
 FRESH_SHARE = 0.8
 # Pause before a store call is repeated within a caller's time limit.
 RETRY_S = 0.1
-# A caller that is refused for want of the store may return after this; another
-# instance often reaches it.
-RETRY_AFTER_S = 1
+# A submission that the store has refused is tried again for this long in
+# seconds; then the caller is better off at another instance.
+REFUSED_TRIES_S = 0.3
+# Bounds in seconds of when a refused caller should return. Another instance
+# often reaches the store, so the first is short; an outage that has lasted
+# goes on for about as long again.
+FIRST_RETURN_S = 1
+LAST_RETURN_S = 3
 # Published counts of waiting jobs are kept this long.
 COUNTS_KEPT_S = 0.5
 
@@ -62,7 +67,7 @@
     """Submits, cancels and looks up jobs.
 
     Attributes:
-        store: the platform's key-value service.
+        store: the platform's key-value service, which tells of outages.
         clock: source of time.
         follower: the configuration in force.
         revoke_s: seconds that a revoked key may still be served.
@@ -75,7 +80,7 @@
     def __init__(
         self,
         *,
-        store: store.TransactionalStore,
+        store: store.MonitoredStore,
         clock: clock_lib.Clock,
         follower: ConfigurationFollower,
         revoke_s: float,
@@ -91,6 +96,12 @@
         """Whether the configuration is recent enough to serve keys."""
         return self.follower.age_s <= self.revoke_s * FRESH_SHARE
 
+    @property
+    def retry_after_s(self) -> int:
+        """Whole seconds after which a refused caller should return."""
+        outage_s = int(self.store.outage_s)
+        return min(LAST_RETURN_S, FIRST_RETURN_S + outage_s)
+
     async def submit(
         self,
         *,
@@ -193,24 +204,41 @@
 
     async def _create(self, key: str, value: bytes, limit_s: float) -> Verdict:
         """Creates a key; CONFLICTING if it exists."""
-        deadline_s = self.clock.now() + limit_s
+        began_s = self.clock.now()
         is_maybe_stored = False
         while True:
+            if not is_maybe_stored and self.store.outage_s > 0.0:
+                return Verdict.REFUSED
             try:
                 await self.store.put(key, value, expected=0)
             except store.ConflictError:
                 # The conflict may be with an earlier try of this call.
                 return Verdict.CONFLICTING
-            except store.StoreUnavailableError:
-                pass
-            except store.StoreError:
+            except store.StoreUnavailableError as error:
+                reason = str(error)
+            except store.StoreError as error:
+                reason = str(error)
                 is_maybe_stored = True
             else:
                 return Verdict.ACCEPTED
-            if self.clock.now() + RETRY_S >= deadline_s:
-                return Verdict.UNKNOWN if is_maybe_stored else Verdict.REFUSED
+            allowed_s = (
+                limit_s if is_maybe_stored else min(limit_s, REFUSED_TRIES_S)
+            )
+            if self.clock.now() + RETRY_S - began_s >= allowed_s:
+                return self._give_up(key, reason, is_maybe_stored)
             await self.clock.sleep(RETRY_S)
 
+    def _give_up(self, key: str, reason: str, is_maybe_stored: bool) -> Verdict:
+        verdict = Verdict.UNKNOWN if is_maybe_stored else Verdict.REFUSED
+        observability.log_event(
+            "write",
+            outcome=verdict.value,
+            key=key,
+            reason=reason,
+            outage_s=round(self.store.outage_s, 3),
+        )
+        return verdict
+
     async def _compare(self, record: jobs.Job) -> Verdict:
         """Tells whether the stored job is the one that is submitted."""
         try:
@@ -231,7 +259,8 @@
             try:
                 return await self.store.get(key), True
             except store.StoreError as error:
-                if self.clock.now() + RETRY_S >= deadline_s:
+                is_over = self.clock.now() + RETRY_S >= deadline_s
+                if is_over or self.store.outage_s > 0.0:
                     observability.log_event(
                         "read", outcome="no answer", key=key, reason=str(error)
                     )
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -21,6 +21,7 @@
     placement,
     platform,
     routing,
+    store,
 )
 from magnoliaglade.gateway import Gateway
 from magnoliaglade.instance._metrics import InstanceMetrics
@@ -58,7 +59,8 @@
         self.metrics = InstanceMetrics()
         self._is_stopping = False
         self._coordinator: coordinator.Coordinator | None = None
-        self.store = platform.PlatformStore(address=settings.store_address)
+        self._client = platform.PlatformStore(address=settings.store_address)
+        self.store = store.MonitoredStore(store=self._client, clock=clock)
         self.follower = routing.ConfigurationFollower(
             store=self.store,
             clock=clock,
@@ -98,7 +100,7 @@
         """
         for server in self._servers:
             await server.start()
-        await self.store.start()
+        await self._client.start()
         await self.follower.start()
         await self.election.start()
         observability.log_event(
@@ -118,7 +120,7 @@
         for server in self._servers:
             await server.stop()
         await self.follower.stop()
-        await self.store.stop()
+        await self._client.stop()
         observability.log_event("instance", state="stopped")
 
     def dump(self) -> dict[str, Any]:
@@ -133,7 +135,7 @@
             "coordinator": (
                 self._coordinator.dump() if self._coordinator else None
             ),
-            "store_calls": self.store.calls,
+            "store": self.store.dump(),
         }
 
     async def _serve_term(self, epoch: Epoch) -> None:
--- /dev/null
+++ b/magnoliaglade/placement/tests/test_planner.py
@@ -0,0 +1,292 @@
+import collections
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magnoliaglade import placement
+from magnoliaglade.placement.tests import patterns
+
+PLANNER = placement.Planner()
+
+
+def plan_of(candidates, **parts):
+    return PLANNER.plan(patterns.snapshot(candidates, **parts))
+
+
+class TestGangs:
+    def test_a_gang_is_placed_whole_or_not_at_all(self):
+        # Guards against members that wait alone for the rest.
+        plan = plan_of(
+            patterns.racks(1), demands=[patterns.demand("big", 5, 8)]
+        )
+        assert plan.starts == ()
+
+    def test_same_rack_is_kept_while_a_rack_could_hold_the_gang(self):
+        # Guards against a gang that runs three times as long on two racks.
+        busy = [patterns.use(f"u{r}", f"w{r}0", 8) for r in range(2)]
+        plan = plan_of(
+            patterns.racks(2),
+            uses=busy,
+            demands=[patterns.demand("tight", 4, 8, same_rack=True)],
+        )
+        assert plan.starts == ()
+
+    def test_a_late_gang_is_spread_rather_than_kept_waiting(self):
+        busy = [patterns.use(f"u{r}", f"w{r}0", 8) for r in range(2)]
+        late = patterns.demand(
+            "tight", 4, 8, same_rack=True, latest_start_s=patterns.NOW_S - 1
+        )
+        plan = plan_of(patterns.racks(2), uses=busy, demands=[late])
+        assert len(patterns.workers_of(plan, "tight")) == 4
+        assert plan.starts[0].is_spread
+
+    def test_the_fullest_rack_that_fits_is_chosen(self):
+        # Guards against small gangs that break into every free rack.
+        busy = [patterns.use("u", "w10", 8), patterns.use("v", "w11", 8)]
+        plan = plan_of(
+            patterns.racks(2),
+            uses=busy,
+            demands=[patterns.demand("small", 2, 8, same_rack=True)],
+        )
+        assert set(patterns.workers_of(plan, "small")) == {"w12", "w13"}
+
+    def test_small_tasks_leave_whole_workers_free(self):
+        busy = [patterns.use("u", "w00", 4)]
+        plan = plan_of(
+            patterns.racks(1), uses=busy, demands=[patterns.demand("s", 2, 2)]
+        )
+        assert set(patterns.workers_of(plan, "s")) == {"w00"}
+
+
+class TestReservations:
+    def test_small_work_does_not_starve_a_large_gang(self):
+        # Load pattern: a large gang waits for two of four workers while small
+        # long tasks keep arriving. They would take the free half for good.
+        busy = [
+            patterns.use("u", "w00", 8, ends_at_s=patterns.NOW_S + 2.0),
+            patterns.use("v", "w01", 8, ends_at_s=patterns.NOW_S + 2.0),
+        ]
+        plan = plan_of(
+            patterns.racks(1),
+            uses=busy,
+            demands=[
+                patterns.demand("gang", 4, 8),
+                patterns.demand(
+                    "small", 2, 8, is_gang=False, priority=2, estimate_s=9.0
+                ),
+            ],
+        )
+        assert plan.starts == ()
+
+    def test_work_that_ends_in_time_fills_the_gap(self):
+        # Guards against idle workers behind a reservation.
+        busy = [patterns.use("u", "w00", 8, ends_at_s=patterns.NOW_S + 5.0)]
+        plan = plan_of(
+            patterns.racks(1),
+            uses=busy,
+            demands=[
+                patterns.demand("gang", 4, 8),
+                patterns.demand(
+                    "short", 3, 8, is_gang=False, priority=2, estimate_s=3.0
+                ),
+            ],
+        )
+        assert len(patterns.workers_of(plan, "short")) == 3
+
+
+class TestPreemption:
+    def test_an_urgent_burst_takes_what_loses_least(self):
+        # Load pattern: a burst of urgent jobs meets a full pool.
+        busy = [
+            patterns.use(f"u{i}", f"w0{i}", 8, loss_s=float(9 - i))
+            for i in range(4)
+        ]
+        urgent = [
+            patterns.demand(f"urgent{i}", 1, 8, priority=0, is_guaranteed=True)
+            for i in range(2)
+        ]
+        plan = plan_of(patterns.racks(1), uses=busy, demands=urgent)
+        assert patterns.victims_of(plan) == {"u2", "u3"}
+
+    def test_room_that_becomes_free_is_not_taken_twice(self):
+        # Guards against a second preemption while a stop is under way.
+        busy = [
+            patterns.use("gone", "w00", 8, is_stopping=True),
+            patterns.use("stays", "w01", 8),
+        ]
+        plan = plan_of(
+            patterns.racks(1, size=2),
+            uses=busy,
+            demands=[patterns.demand("urgent", 1, 8, priority=0)],
+        )
+        assert plan.preemptions == ()
+        assert plan.starts == ()
+
+    def test_room_that_becomes_free_goes_to_whom_it_was_freed_for(self):
+        # Guards against lower work that slips into freed capacity.
+        busy = [patterns.use("gone", "w00", 6, is_stopping=True)]
+        plan = plan_of(
+            patterns.racks(1, size=1),
+            uses=busy,
+            demands=[
+                patterns.demand("urgent", 1, 8, priority=0),
+                patterns.demand("small", 1, 2, priority=2),
+            ],
+        )
+        assert plan.starts == ()
+
+    def test_protected_work_is_never_stopped(self):
+        busy = [patterns.use("p", "w00", 8, priority=0, is_protected=True)]
+        plan = plan_of(
+            patterns.racks(1, size=1),
+            uses=busy,
+            demands=[
+                patterns.demand("u", 1, 8, priority=0, is_guaranteed=True)
+            ],
+        )
+        assert plan.preemptions == ()
+
+    def test_a_guarantee_takes_back_what_another_account_borrowed(self):
+        busy = [patterns.use("borrowed", "w00", 8, priority=0)]
+        plan = plan_of(
+            patterns.racks(1, size=1),
+            uses=busy,
+            demands=[
+                patterns.demand("own", 1, 8, priority=0, is_guaranteed=True)
+            ],
+        )
+        assert patterns.victims_of(plan) == {"borrowed"}
+
+    def test_urgent_work_without_a_guarantee_wastes_little(self):
+        # Guards against throwing away more work than is gained.
+        busy = [patterns.use("long", "w00", 8, loss_s=60.0)]
+        plan = plan_of(
+            patterns.racks(1, size=1),
+            uses=busy,
+            demands=[patterns.demand("u", 1, 2, priority=0, estimate_s=2.0)],
+        )
+        assert plan.preemptions == ()
+
+    def test_a_gang_is_stopped_whole(self):
+        busy = [
+            patterns.use("gang", f"w0{i}", 8, index=i, is_gang=True)
+            for i in range(2)
+        ]
+        plan = plan_of(
+            patterns.racks(1, size=2),
+            uses=busy,
+            demands=[
+                patterns.demand("u", 1, 8, priority=0, is_guaranteed=True)
+            ],
+        )
+        assert [p.index for p in plan.preemptions] == [None]
+
+
+class TestOrder:
+    def test_work_that_can_be_on_time_goes_before_work_that_cannot(self):
+        # Load pattern: more urgent work than the pool can serve in time.
+        late = patterns.demand(
+            "late", 1, 8, latest_start_s=patterns.NOW_S - 5, arrived_at_s=0.0
+        )
+        fresh = patterns.demand("fresh", 1, 8)
+        plan = plan_of(patterns.racks(1, size=1), demands=[late, fresh])
+        assert [s.unit.job for s in plan.starts] == ["fresh"]
+
+    def test_hopeless_work_goes_last_of_all(self):
+        hopeless = patterns.demand(
+            "hopeless",
+            1,
+            8,
+            priority=0,
+            latest_start_s=patterns.NOW_S - 50,
+            hopeless_at_s=patterns.NOW_S - 1,
+        )
+        fresh = patterns.demand("fresh", 1, 8, priority=2)
+        plan = plan_of(patterns.racks(1, size=1), demands=[hopeless, fresh])
+        assert [s.unit.job for s in plan.starts] == ["fresh"]
+
+    def test_suspects_are_used_last(self):
+        pool = [
+            patterns.candidate("bad", suspicion=1.0),
+            patterns.candidate("good"),
+        ]
+        plan = plan_of(pool, demands=[patterns.demand("j", 1, 8)])
+        assert patterns.workers_of(plan, "j") == ["good"]
+
+
+class TestConstraints:
+    def test_labels_and_limits_hold(self):
+        pool = [
+            patterns.candidate("x", labels=("a",)),
+            patterns.candidate("y", labels=("a",)),
+            patterns.candidate("z"),
+        ]
+        plan = plan_of(
+            pool,
+            demands=[
+                patterns.demand(
+                    "j", 4, 1, is_gang=False, label="a", max_per_worker=1
+                )
+            ],
+        )
+        assert sorted(patterns.workers_of(plan, "j")) == ["x", "y"]
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(1, 6),
+                st.integers(1, 8),
+                st.booleans(),
+                st.booleans(),
+                st.integers(0, 2),
+                st.booleans(),
+            ),
+            max_size=12,
+        ),
+        st.lists(
+            st.tuples(st.integers(0, 7), st.integers(1, 8), st.booleans()),
+            max_size=8,
+        ),
+    )
+    def test_no_worker_is_ever_over_its_capacity(self, rows, used):
+        # Guards against a start beyond capacity, whatever the mix of demands,
+        # with stops that have not ended yet still counted.
+        pool = patterns.racks(2)
+        uses = []
+        taken = collections.Counter()
+        for i, (position, size, is_stopping) in enumerate(used):
+            worker = pool[position].worker
+            if taken[worker] + size <= 8:
+                taken[worker] += size
+                uses.append(
+                    patterns.use(f"u{i}", worker, size, is_stopping=is_stopping)
+                )
+        demands = [
+            patterns.demand(
+                f"d{i}",
+                count,
+                size,
+                is_gang=is_gang,
+                same_rack=is_tight,
+                priority=priority,
+                is_guaranteed=is_guaranteed and priority == 0,
+            )
+            for i, (
+                count,
+                size,
+                is_gang,
+                is_tight,
+                priority,
+                is_guaranteed,
+            ) in enumerate(rows)
+        ]
+        plan = plan_of(pool, uses=uses, demands=demands)
+        by_unit = {d.unit: d for d in demands}
+        for start in plan.starts:
+            need = by_unit[start.unit].resources.accelerators
+            for _, worker in start.placement:
+                taken[worker] += need
+            if by_unit[start.unit].is_gang:
+                assert len(start.placement) == len(by_unit[start.unit].indexes)
+        assert max(taken.values(), default=0) <= 8
--- a/magnoliaglade/platform/_front.py
+++ b/magnoliaglade/platform/_front.py
@@ -7,7 +7,6 @@
 import blacksheep
 from blacksheep.server import routing as routes
 
-from magnoliaglade import gateway as gateway_lib
 from magnoliaglade import http, jobs, routing
 from magnoliaglade.gateway import Gateway, Verdict
 from magnoliaglade.platform import _submission
@@ -87,7 +86,7 @@
     async def _handle(self, request: blacksheep.Request) -> blacksheep.Response:
         configuration = self.follower.configuration
         if configuration is None:
-            return _refusal()
+            return self._refusal()
         path = request.url.path.decode("latin-1")
         queue = configuration.match(_host(request), path)
         if queue is None:
@@ -98,7 +97,7 @@
             if account is None:
                 return _status(401 if self.gateway.is_fresh else 503)
             if not self.gateway.is_fresh:
-                return _refusal()
+                return self._refusal()
         response = await self._dispatch(
             request, queue, account, path.removeprefix(queue.prefix)
         )
@@ -119,7 +118,7 @@
         if not name and request.method == "GET":
             count = await self.gateway.waiting(queue, limit_s=limit_s)
             if count.verdict is not Verdict.ACCEPTED:
-                return _answer(count.verdict)
+                return self._answer(count.verdict)
             return http.json_response(200, {"pending": count.waiting})
         if not _JOB_ID.fullmatch(name):
             return _problem(400, "the id must have 16 hexadecimal digits")
@@ -130,12 +129,12 @@
             verdict = await self.gateway.cancel(
                 job=job, account=account, limit_s=limit_s
             )
-            return _answer(verdict)
+            return self._answer(verdict)
         answer = await self.gateway.state(
             job=job, account=account, limit_s=limit_s
         )
         if answer.state is None:
-            return _answer(answer.verdict)
+            return self._answer(answer.verdict)
         return http.json_response(200, {"state": _STATES[answer.state]})
 
     async def _submit(
@@ -166,7 +165,18 @@
             spec=spec,
             limit_s=limit_s,
         )
-        return _answer(verdict)
+        return self._answer(verdict)
+
+    def _answer(self, verdict: Verdict) -> blacksheep.Response:
+        if verdict is Verdict.REFUSED:
+            return self._refusal()
+        return _status(_STATUS[verdict])
+
+    def _refusal(self) -> blacksheep.Response:
+        response = _status(503)
+        after = str(self.gateway.retry_after_s).encode()
+        response.add_header(b"retry-after", after)
+        return response
 
 
 _STATES = {
@@ -195,19 +205,6 @@
     return max(0.05, limit_ms * DEADLINE_SHARE / 1000.0)
 
 
-def _answer(verdict: Verdict) -> blacksheep.Response:
-    if verdict is Verdict.REFUSED:
-        return _refusal()
-    return _status(_STATUS[verdict])
-
-
-def _refusal() -> blacksheep.Response:
-    response = _status(503)
-    after = str(gateway_lib.RETRY_AFTER_S).encode()
-    response.add_header(b"retry-after", after)
-    return response
-
-
 def _status(status: int) -> blacksheep.Response:
     return http.json_response(status, {})
 
--- a/magnoliaglade/store/_monitored.py
+++ b/magnoliaglade/store/_monitored.py
@@ -4,24 +4,40 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.store import _errors
-from magnoliaglade.store.base import Entry, Event, Store
+from magnoliaglade.store.base import Entry, Event, TransactionalStore
 from magnoliaglade.types import LeaseId
 
 # The instance lease is renewed every second, so two missed renewals and their
 # timeouts make the store count as not reachable.
 REACHABLE_AGE_S = 2.5
+# An outage is assumed after this many failed calls in a row over this time;
+# a single lost answer is none.
+OUTAGE_CALLS = 2
+OUTAGE_S = 0.3
 
 
 class MonitoredStore:
     """Delegates every call and remembers when one was answered last."""
 
-    def __init__(self, *, store: Store, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self, *, store: TransactionalStore, clock: clock_lib.Clock
+    ) -> None:
         self.store = store
         self.clock = clock
         self.calls = 0
         self.writes = 0
         self.failures = 0
         self._answered_s = float("-inf")
+        self._failures_in_a_row = 0
+        self._failing_since_s = float("inf")
+
+    @property
+    def outage_s(self) -> float:
+        """Seconds for which calls have failed; 0 if there is no outage."""
+        failing_s = self.clock.now() - self._failing_since_s
+        if self._failures_in_a_row < OUTAGE_CALLS or failing_s < OUTAGE_S:
+            return 0.0
+        return failing_s
 
     @property
     def is_reachable(self) -> bool:
@@ -58,6 +74,11 @@
         self.writes += 1
         await self._watch_call(self.store.delete(key, **options))
 
+    async def transact(self, **options: Any) -> int:
+        """See `TransactionalStore.transact`."""
+        self.writes += 1
+        return await self._watch_call(self.store.transact(**options))
+
     async def grant_lease(self, ttl_s: float) -> LeaseId:
         """See `Store.grant_lease`."""
         self.writes += 1
@@ -86,11 +107,21 @@
         try:
             result = await call
         except (_errors.StoreUnavailableError, _errors.StoreUnknownError):
-            self.failures += 1
+            self._note_failure()
             raise
         except _errors.StoreError:
             # A conflict or a lost lease is an answer.
-            self._answered_s = self.clock.now()
+            self._note_answer()
             raise
-        self._answered_s = self.clock.now()
+        self._note_answer()
         return result
+
+    def _note_answer(self) -> None:
+        self._answered_s = self.clock.now()
+        self._failures_in_a_row = 0
+        self._failing_since_s = float("inf")
+
+    def _note_failure(self) -> None:
+        self.failures += 1
+        self._failures_in_a_row += 1
+        self._failing_since_s = min(self._failing_since_s, self.clock.now())
