Let retries avoid workers on which the job failed

Cause: a job of a guaranteed account spent all retries on the one worker that fails everything, since quarantine needs failures of three distinct jobs. Tests run on four cores; those on the real clock share one worker.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 --dist loadgroup
 
 demo: $(STAMP)
 	$(BIN)/python -m magnoliaglade demo
--- a/magnoliaglade/daemon/_jobs.py
+++ b/magnoliaglade/daemon/_jobs.py
@@ -143,7 +143,9 @@
             client=self.fleet.client,
             startable_zones=self.startable_zones,
             may_act_in_outage=lambda: self.outage.may_act(domain),
-            refine=lambda snapshot: self._refine(snapshot, domain),
+            refine=lambda snapshot: self._health.refine(
+                self._refine(snapshot, domain)
+            ),
             is_informed=self.is_informed,
             is_takeover_agreed=self._is_takeover_agreed,
             expected_run_s=self._expected_run_s,
--- a/magnoliaglade/daemon/_worker_states.py
+++ b/magnoliaglade/daemon/_worker_states.py
@@ -41,6 +41,15 @@
             for (w, x), state in zip(workers.items(), states, strict=True)
         }
 
+    def refine(
+        self, snapshot: scheduling.ClusterSnapshot
+    ) -> scheduling.ClusterSnapshot:
+        """Returns the snapshot with the workers that each job avoids."""
+        avoided = self.quarantine.avoided(
+            [g.job for g in snapshot.pending], now_s=self.clock.time()
+        )
+        return dataclasses.replace(snapshot, avoided=avoided)
+
 
 class ZoneReturns:
     """Remembers when zones came back into service.
--- a/magnoliaglade/scheduling/_capacity.py
+++ b/magnoliaglade/scheduling/_capacity.py
@@ -59,9 +59,10 @@
     Only workers that may get new tasks (available or on probation, in a
     startable zone) offer slots; `any_state` counts all workers, for the
     question whether a gang could ever run. Resources of running gangs are
-    tracked on all workers. Workers on probation offer slots while no gang
-    runs on any of them, so that a bad worker fails one gang at a time, and
-    none to gangs that must not start twice.
+    tracked on all workers. Workers on probation offer slots while no gang runs
+    on any of them, so that a bad worker fails one gang at a time, and none to
+    gangs that must not start twice. A job gets no slots on workers that
+    `avoided` names for it.
     """
 
     def __init__(
@@ -71,8 +72,10 @@
         running: Iterable[_model.RunningGang],
         zones: Collection[ZoneId],
         any_state: bool = False,
+        avoided: Mapping[JobId, frozenset[WorkerId]] | None = None,
     ) -> None:
         self.workers = workers
+        self.avoided = avoided or {}
         self.zones = zones
         self.free: dict[WorkerId, list[float]] = {
             w: [x.shape.cores, x.shape.memory_gb, x.shape.accelerators]
@@ -117,13 +120,10 @@
 
     def usable_for(self, gang: _model.Gang) -> list[WorkerId]:
         """Returns the workers that may get tasks of the gang."""
-        if not gang.at_most_once or not self._probation:
+        closed = self.closed_to(gang)
+        if not closed:
             return self.usable
-        return [w for w in self.usable if w not in self._probation]
-
-    def is_limited(self, gang: _model.Gang) -> bool:
-        """Tells whether some usable workers are closed to the gang."""
-        return gang.at_most_once and bool(self._probation)
+        return [w for w in self.usable if w not in closed]
 
     def release(self, assignments: Assignments, shape: _model.Shape) -> None:
         """Gives the resources of a gang back."""
@@ -155,8 +155,7 @@
             best_fit: fill the smallest sufficient group and the most used
                 workers first; otherwise take workers in order of their id.
         """
-        if self.is_limited(gang):
-            withheld = self._probation.union(withheld)
+        withheld = self.closed_to(gang).union(withheld)
         table = self._table(gang.shape)
         if gang.tasks == 1 and best_fit:
             return self._find_single(table, withheld)
@@ -176,6 +175,11 @@
                 )
         return None
 
+    def closed_to(self, gang: _model.Gang) -> frozenset[WorkerId]:
+        """Returns the workers that must get no tasks of a gang."""
+        avoided = self.avoided.get(gang.job, frozenset())
+        return avoided | self._probation if gang.at_most_once else avoided
+
     def _find_single(
         self, table: _SlotTable, withheld: Collection[WorkerId]
     ) -> Assignments | None:
--- a/magnoliaglade/scheduling/_cells_policy.py
+++ b/magnoliaglade/scheduling/_cells_policy.py
@@ -70,6 +70,7 @@
             workers=snapshot.workers,
             running=snapshot.running.values(),
             zones=snapshot.startable_zones,
+            avoided=snapshot.avoided,
         )
         self._ledger = _cells.GuaranteeLedger(
             workers=snapshot.workers,
@@ -132,8 +133,8 @@
 
     def _find(self, gang: _model.Gang) -> _capacity.Assignments | None:
         withheld = self._reserver.withheld_from(gang)
-        limited = self._capacity.is_limited(gang)
-        key = (gang.shape, gang.adjacency, withheld, limited)
+        closed = self._capacity.closed_to(gang)
+        key = (gang.shape, gang.adjacency, withheld, closed)
         if gang.tasks >= self._too_many.get(key, gang.tasks + 1):
             return None
         found = self._capacity.find(gang, withheld=withheld)
--- a/magnoliaglade/scheduling/_first_fit.py
+++ b/magnoliaglade/scheduling/_first_fit.py
@@ -25,6 +25,7 @@
             workers=snapshot.workers,
             running=snapshot.running.values(),
             zones=snapshot.startable_zones,
+            avoided=snapshot.avoided,
         )
         usage = _order.Usage.of(snapshot)
         judge = _refusals.Judge(snapshot=snapshot, usage=usage)
--- a/magnoliaglade/scheduling/_model.py
+++ b/magnoliaglade/scheduling/_model.py
@@ -202,6 +202,7 @@
         weights: fair-share weight by account; 1 if missing.
         expected_run_s: learned run time by job; the declared one if missing.
         exhausted: jobs that have failed too often to be started again.
+        avoided: workers on which a job has failed lately, by job.
     """
 
     now_s: float
@@ -216,6 +217,9 @@
         default_factory=dict
     )
     exhausted: frozenset[JobId] = frozenset()
+    avoided: Mapping[JobId, frozenset[WorkerId]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/scheduling/_quarantine.py
+++ b/magnoliaglade/scheduling/_quarantine.py
@@ -9,6 +9,10 @@
 from magnoliaglade.scheduling import _model
 from magnoliaglade.types import JobId, WorkerId
 
+# A job avoids a worker on which it has failed for this long in seconds. A gang
+# that needs most of the pool would otherwise wait for ever.
+AVOID_S = 60.0
+
 _POSITIVE = base.Interval(kind=int, low=1)
 
 
@@ -88,7 +92,9 @@
         self.validate_params()
         if not hasattr(self, "workers_"):
             self.workers_: dict[WorkerId, _Health] = defaultdict(_Health)
-            self.failed_on_: dict[JobId, set[WorkerId]] = defaultdict(set)
+            self.failed_on_: dict[JobId, dict[WorkerId, float]] = defaultdict(
+                dict
+            )
             self.failures_: dict[JobId, int] = defaultdict(int)
         for outcome in observations:
             if outcome.failed:
@@ -119,10 +125,24 @@
             return RetryVerdict.GIVE_UP
         return RetryVerdict.RETRY
 
+    def avoided(
+        self, jobs: Iterable[JobId], *, now_s: float
+    ) -> dict[JobId, frozenset[WorkerId]]:
+        """Returns the workers on which jobs have failed lately, by job."""
+        found: dict[JobId, frozenset[WorkerId]] = {}
+        for job in jobs:
+            failed_on = getattr(self, "failed_on_", {}).get(job, {})
+            workers = frozenset(
+                w for w, at_s in failed_on.items() if now_s < at_s + AVOID_S
+            )
+            if workers:
+                found[job] = workers
+        return found
+
     def annotate(
         self, snapshot: _model.ClusterSnapshot
     ) -> _model.ClusterSnapshot:
-        """Returns the snapshot with worker states and exhausted jobs.
+        """Returns the snapshot with worker states, avoided and exhausted.
 
         Workers that are leaving or lost keep their state.
         """
@@ -137,13 +157,16 @@
             for gang in snapshot.pending
             if self.verdict(gang.job) is RetryVerdict.GIVE_UP
         )
+        avoided = self.avoided(
+            [g.job for g in snapshot.pending], now_s=snapshot.now_s
+        )
         return dataclasses.replace(
-            snapshot, workers=workers, exhausted=exhausted
+            snapshot, workers=workers, exhausted=exhausted, avoided=avoided
         )
 
     def _add_failure(self, outcome: TaskOutcome) -> None:
         self.failures_[outcome.job] += 1
-        self.failed_on_[outcome.job].add(outcome.worker)
+        self.failed_on_[outcome.job][outcome.worker] = outcome.at_s
         health = self.workers_[outcome.worker]
         health.failed_jobs.add(outcome.job)
         if self._is_bad(outcome.job):
--- a/magnoliaglade/scheduling/_reclaim.py
+++ b/magnoliaglade/scheduling/_reclaim.py
@@ -63,7 +63,7 @@
             gang: the gang to place.
             room: unused accelerators of the account's cells, by worker.
         """
-        limits = cell_slots(self.capacity, gang.shape, room)
+        limits = cell_slots(self.capacity, gang, room)
 
         def may_evict(victim: _model.RunningGang) -> bool:
             # Work of the same account uses the account's capacity as
@@ -245,13 +245,16 @@
 
 def cell_slots(
     capacity: _capacity.Capacity,
-    shape: _model.Shape,
+    gang: _model.Gang,
     room: Mapping[WorkerId, int],
 ) -> dict[WorkerId, int]:
     """Returns how many tasks the given parts of workers hold when empty."""
     result = {}
+    closed = capacity.closed_to(gang)
     for w, units in room.items():
         worker = capacity.workers[w]
+        if w in closed:
+            continue
         if worker.zone not in capacity.zones or not worker.shape.accelerators:
             continue
         part = units / worker.shape.accelerators
@@ -259,7 +262,7 @@
             worker.shape.cores * part,
             worker.shape.memory_gb * part,
             units,
-            shape,
+            gang.shape,
         )
         if slots:
             result[w] = slots
@@ -272,7 +275,7 @@
     room: Mapping[WorkerId, int],
 ) -> _capacity.Assignments | None:
     """Places a gang in the free part of its account's cells, or not."""
-    limits = cell_slots(capacity, gang.shape, room)
+    limits = cell_slots(capacity, gang, room)
     slots = {
         w: min(n, capacity.slots(w, gang.shape)) for w, n in limits.items()
     }
--- a/magnoliaglade/scheduling/tests/test_learning.py
+++ b/magnoliaglade/scheduling/tests/test_learning.py
@@ -61,6 +61,16 @@
             for job, w, at, failed in outcomes
         )
 
+    def test_a_retry_avoids_workers_on_which_the_job_failed(self):
+        # Guards against a job that spends all its retries on one bad worker.
+        quarantine = scheduling.Quarantine()
+        self.observe(quarantine, ("j", "w", 0.0, True), ("k", "v", 0.0, True))
+        job = JobId("j")
+        assert quarantine.avoided([job], now_s=1.0) == {
+            job: frozenset({WorkerId("w")})
+        }
+        assert quarantine.avoided([job], now_s=61.0) == {}
+
     def test_bad_worker_is_released_after_probation(self):
         quarantine = scheduling.Quarantine(quarantine_s=100.0)
         self.observe(quarantine, *((f"j{n}", "w", 0.0, True) for n in range(3)))
--- a/tests/matrix/jobs.py
+++ b/tests/matrix/jobs.py
@@ -198,7 +198,7 @@
             workers=lambda: health.with_states(self.cluster.listed()),
             on_outcome=health.note,
             decide=decide,
-            refine=self.refine,
+            refine=lambda s: health.refine(self.refine(s)),
             startable_zones=lambda: self.startable,
             zone_policy=lambda: self.policy,
             choose_domain=lambda _: "jobs.y",
