Let members of a complete gang end by themselves

Cause: at the end of a gang's first member the coordinator sent stops to the others, which were ending as well; each is a needless call. Change: only failed and cancelled jobs are stopped.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -432,7 +432,9 @@
         )
         if progress.state.is_final and not was_final:
             self._finish(progress)
-            self._stop_all(progress)
+            # Members of a complete gang end by themselves.
+            if progress.state is not jobs.JobState.COMPLETED:
+                self._stop_all(progress)
         elif how is not RunOutcome.DONE:
             self._stop_rest_of_gang(progress, key, run)
         self._write(progress)
