Serve the platform's protocol from a stand-in and test the whole path

Change: the platform's side of its protocol stands beside the client side, so that the stand-in knows no wire names; an instance runs against it over real sockets. Tests on the real clock run in a second, serial pass of make test: in parallel four of them met each other's fixed ports.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
+# Tests on the real clock and with fixed ports, which run one at a time.
+REAL_CLOCK := tests/processes tests/whole_path tests/platform
+
 .PHONY: test demo bench lint format clean
 
 $(STAMP): requirements.lock pyproject.toml
@@ -12,7 +15,8 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -n 4 --dist loadgroup
+	$(BIN)/python -m pytest -n 4 $(REAL_CLOCK:%=--ignore=%)
+	$(BIN)/python -m pytest $(REAL_CLOCK)
 
 demo: $(STAMP)
 	$(BIN)/python -m magnoliaglade demo
--- /dev/null
+++ b/magnoliaglade/platform/testing.py
@@ -0,0 +1,287 @@
+"""The platform's side of its protocol, for stand-ins.
+
+It shares names and formats with the client side, so that a stand-in needs to
+know neither.
+"""
+
+import base64
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import blacksheep
+import orjson
+
+from magnoliaglade import fleet, http, store
+from magnoliaglade.fleet import OrderOutcome, OrderReply
+from magnoliaglade.instance import InstanceSettings
+from magnoliaglade.platform import _documents
+from magnoliaglade.types import Epoch, LeaseId
+
+# Largest body that a stand-in reads.
+_MAX_BODY_BYTES = 4_194_304
+
+_REASONS = {
+    OrderOutcome.FENCED: "fence",
+    OrderOutcome.SUPERSEDED: "old",
+    OrderOutcome.LATE: "late",
+    OrderOutcome.NO_ROOM: "room",
+}
+
+
+def store_application(
+    served: store.TransactionalStore, *, revision: Callable[[], int]
+) -> blacksheep.Application:
+    """Serves a store with the key-value protocol."""
+    api = _StoreApi(served=served, revision=revision)
+    return http.new_application(
+        {
+            ("GET", "/api/kv-key"): api.get,
+            ("GET", "/api/kv-range"): api.list,
+            ("GET", "/api/kv-watch"): api.watch,
+            ("POST", "/api/kv-txn"): api.transact,
+            ("POST", "/api/kv-lease"): api.grant,
+            ("POST", "/api/kv-keep/{lease}"): api.renew,
+            ("DELETE", "/api/kv-lease-end/{lease}"): api.revoke,
+        }
+    )
+
+
+def worker_application(worker: fleet.WorkerClient) -> blacksheep.Application:
+    """Serves a worker with the executor protocol."""
+    api = _WorkerApi(worker=worker)
+    return http.new_application(
+        {
+            ("POST", "/api/hold"): api.hold,
+            ("POST", "/api/run-start"): api.start,
+            ("POST", "/api/run-stop"): api.stop,
+        }
+    )
+
+
+def encode_worker(listed: fleet.ListedWorker) -> tuple[str, bytes]:
+    """Returns key and value of a worker's entry in the store."""
+    capacity = {
+        "cpu": listed.capacity.cores_m,
+        "memMb": listed.capacity.memory_mb,
+        "gpu": listed.capacity.accelerators,
+    }
+    fields = {
+        "service": listed.service,
+        "address": listed.address,
+        "zone": listed.zone,
+        "state": "draining" if listed.is_draining else "ready",
+        "drainRemainingMs": int(listed.leaves_in_s * 1000),
+        "capacity": capacity,
+        "labels": [*sorted(listed.labels - {listed.rack}), listed.rack],
+        "born": listed.lifetime,
+    }
+    key = _documents.WORKER_PREFIX + listed.worker
+    return key, orjson.dumps(fields)
+
+
+def configuration_entry(fields: dict[str, Any]) -> tuple[str, bytes]:
+    """Returns key and value of the operators' configuration."""
+    return _documents.OPERATOR_PREFIX + "config", orjson.dumps(fields)
+
+
+def encode_settings(settings: InstanceSettings) -> bytes:
+    """Returns the content of a settings file."""
+    fields = {
+        "node": settings.instance,
+        "zone": settings.zone,
+        "listen": {
+            "front": str(settings.front),
+            "ready": str(settings.ready),
+        },
+        "internalPorts": [settings.internal.port, settings.internal.port],
+        "platform": {"address": settings.store_address},
+        "bounds": {"holdMaxMs": int(settings.bounds.longest_lease_s * 1000)},
+        "heartbeatMs": int(settings.bounds.heartbeat_s * 1000),
+    }
+    return orjson.dumps(fields)
+
+
+class _StoreApi:
+    """Handlers of the key-value protocol."""
+
+    def __init__(
+        self, *, served: store.TransactionalStore, revision: Callable[[], int]
+    ) -> None:
+        self.served = served
+        self.revision = revision
+
+    async def get(self, request: blacksheep.Request) -> blacksheep.Response:
+        entry = await self.served.get(_query(request, "key"))
+        if entry is None:
+            return _json(404, {"storeRevision": self.revision()})
+        return _json(200, _item(entry) | {"storeRevision": self.revision()})
+
+    async def list(self, request: blacksheep.Request) -> blacksheep.Response:
+        prefix = _query(request, "prefix")
+        entries, revision = await self.served.list_prefix(prefix)
+        after = _query(request, "after")
+        items = [_item(e) for e in entries if e.key > after]
+        fields = {
+            "items": items,
+            "truncated": False,
+            "storeRevision": revision,
+        }
+        return _json(200, fields)
+
+    async def watch(self, request: blacksheep.Request) -> blacksheep.Response:
+        events = await self.served.watch(
+            _query(request, "prefix"),
+            after=int(_query(request, "after")),
+            wait_s=int(_query(request, "waitMs")) / 1000.0,
+        )
+        fields = {
+            "events": [_event(e) for e in events],
+            "storeRevision": self.revision(),
+        }
+        return _json(200, fields)
+
+    async def transact(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        body = await _body(request)
+        try:
+            revision = await self.served.transact(
+                expected={e["key"]: e["revision"] for e in body["expect"]},
+                puts=[_put(p) for p in body["puts"]],
+                deletes=body["remove"],
+            )
+        except store.TransactionConflictError as error:
+            items = [
+                _item(e) if e else {"key": k, "revision": 0}
+                for k, e in error.entries.items()
+            ]
+            return _json(412, {"items": items})
+        except store.LeaseLostError:
+            return _json(404, {})
+        return _json(200, {"revision": revision})
+
+    async def grant(self, request: blacksheep.Request) -> blacksheep.Response:
+        ttl_ms = (await _body(request))["ttlMs"]
+        lease = await self.served.grant_lease(ttl_ms / 1000.0)
+        number = int(lease.rpartition("-")[2])
+        return _json(200, {"lease": number, "ttlMs": ttl_ms})
+
+    async def renew(self, request: blacksheep.Request) -> blacksheep.Response:
+        try:
+            await self.served.renew_lease(_lease(request))
+        except store.LeaseLostError:
+            return _json(404, {})
+        return _json(200, {})
+
+    async def revoke(self, request: blacksheep.Request) -> blacksheep.Response:
+        await self.served.revoke_lease(_lease(request))
+        return _json(200, {})
+
+
+@dataclasses.dataclass(kw_only=True)
+class _WorkerApi:
+    """Handlers of the executor protocol."""
+
+    worker: fleet.WorkerClient
+
+    async def hold(self, request: blacksheep.Request) -> blacksheep.Response:
+        body = await _body(request)
+        try:
+            report = await self.worker.observe(
+                epoch=Epoch(body["fence"]),
+                acknowledged=body["lastSeen"],
+                lease_until_ms=body.get("untilMs"),
+                wait_s=body.get("waitMs", 0) / 1000.0,
+            )
+        except fleet.WorkerFencedError:
+            return _json(409, {"reason": "fence"})
+        fields = {
+            "clockMs": report.clock_ms,
+            "born": report.lifetime,
+            "running": [
+                [r.task, r.run, r.checkpoint, r.percent, 0]
+                for r in report.running
+            ],
+            "ended": [
+                [e.number, e.task, e.run, e.outcome.value, e.checkpoint]
+                for e in report.ended
+            ],
+        }
+        return _json(200, fields)
+
+    async def start(self, request: blacksheep.Request) -> blacksheep.Response:
+        body = await _body(request)
+        order = fleet.StartOrder(
+            task=body["task"],
+            run=body["run"],
+            payload=body["spec"],
+            lease_until_ms=body["untilMs"],
+            epoch=Epoch(body["fence"]),
+            checkpoint=body.get("lastCheckpoint", ""),
+        )
+        return await _answer(self.worker.start(order))
+
+    async def stop(self, request: blacksheep.Request) -> blacksheep.Response:
+        body = await _body(request)
+        return await _answer(
+            self.worker.stop(
+                task=body["task"], run=body["run"], epoch=Epoch(body["fence"])
+            )
+        )
+
+
+async def _answer(call: Awaitable[OrderReply]) -> blacksheep.Response:
+    reply = await call
+    fields: dict[str, Any] = {"clockMs": reply.clock_ms}
+    if reply.outcome is OrderOutcome.DONE:
+        return _json(200, fields)
+    return _json(409, fields | {"reason": _REASONS[reply.outcome]})
+
+
+async def _body(request: blacksheep.Request) -> dict[str, Any]:
+    data = await http.read_body(request, max_bytes=_MAX_BODY_BYTES)
+    body: dict[str, Any] = orjson.loads(data)
+    return body
+
+
+def _json(status: int, fields: dict[str, Any]) -> blacksheep.Response:
+    return http.json_response(status, fields)
+
+
+def _query(request: blacksheep.Request, name: str) -> str:
+    values = request.query.get(name)
+    return values[0] if values else ""
+
+
+def _lease(request: blacksheep.Request) -> LeaseId:
+    values = request.route_values or {}
+    return LeaseId(f"lease-{values['lease']}")
+
+
+def _item(entry: store.Entry) -> dict[str, Any]:
+    lease = int(entry.lease.rpartition("-")[2]) if entry.lease else 0
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.value).decode("ascii"),
+        "revision": entry.revision,
+        "created": entry.revision,
+        "lease": lease,
+    }
+
+
+def _event(event: store.Event) -> dict[str, Any]:
+    fields = {"key": event.key, "revision": event.revision}
+    if event.kind is store.EventKind.DELETE:
+        return fields | {"deleted": True}
+    value = base64.b64encode(event.value).decode("ascii")
+    return fields | {"value": value, "created": event.revision, "lease": 0}
+
+
+def _put(fields: dict[str, Any]) -> store.Put:
+    lease = fields.get("lease")
+    return store.Put(
+        key=fields["key"],
+        value=base64.b64decode(fields["value"]),
+        lease=LeaseId(f"lease-{lease}") if lease else None,
+    )
--- /dev/null
+++ b/tests/platform/test_platform.py
@@ -0,0 +1,164 @@
+"""An instance against the platform's stand-in, over real sockets."""
+
+import asyncio
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import http, platform
+from magnoliaglade.instance import (
+    Address,
+    Bounds,
+    InstanceSettings,
+    _instance,
+)
+from magnoliaglade.platform import testing
+from magnoliaglade.standins import platform as platform_standin
+from magnoliaglade.types import InstanceId, ZoneId
+
+KEY = "a-key"
+PREFIX = "/proofs/"
+HOST = "queue.example"
+JOB = "5c0e7a21d94b36f8"
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-proofs",
+            "host": HOST,
+            "prefix": PREFIX,
+            "service": "render",
+            "priority": 1,
+            "maxAttempts": 2,
+            "stretch": 3.0,
+            "sloMs": 1000,
+        }
+    ],
+    "services": [{"name": "render"}],
+    "limits": {"maxBodyBytes": 4096},
+    "tenants": [{"name": "studio", "apiKeys": [KEY], "guaranteed": {"gpu": 8}}],
+}
+BODY = b'{"spec":"x","steps":[{"count":2,"cpu":1000,"gpu":1,"gang":true}]}'
+
+
+def free_address():
+    listener = http.bind("127.0.0.1", 0)
+    port = listener.getsockname()[1]
+    listener.close()
+    return Address(host="127.0.0.1", port=port)
+
+
+class Caller:
+    def __init__(self, address):
+        self.client = http.HttpClient(url=f"http://{address}", timeout_s=5.0)
+
+    async def call(self, method, path, *, body=None, key=KEY):
+        # The Host header names the queue's host in place of the address.
+        headers = {"authorization": f"Token {key}", "deadline-ms": "3000"}
+        return await self.client.call(
+            method,
+            path,
+            body=body,
+            headers=headers,
+            content_type="application/json",
+        )
+
+    async def until(self, path, expected):
+        async with asyncio.timeout(20.0):
+            while True:
+                reply = await self.call("GET", path)
+                if reply.status == 200 and reply.json() == expected:
+                    return
+                await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def deployment():
+    clock = clock_lib.SystemClock()
+    standin = platform_standin.PlatformStandIn(clock=clock)
+    await standin.start()
+    front = free_address()
+    host, _ = front.host, front.port
+    route = CONFIGURATION["routes"][0] | {"host": host}
+    await standin.configure(CONFIGURATION | {"routes": [route]})
+    settings = InstanceSettings(
+        instance=InstanceId("e1"),
+        zone=ZoneId("a"),
+        front=front,
+        ready=free_address(),
+        internal=free_address(),
+        store_address=standin.store_address,
+        bounds=Bounds(grace_s=1.0),
+    )
+    instance = _instance.Instance(settings=settings, clock=clock)
+    await instance.start()
+    caller = Caller(front)
+    async with asyncio.timeout(20.0):
+        while not instance.is_ready:
+            await asyncio.sleep(0.02)
+    yield standin, instance, caller
+    await instance.stop()
+    await standin.stop()
+
+
+class TestCalls:
+    async def test_a_job_is_served_from_end_to_end(self, deployment):
+        _, instance, caller = deployment
+        reply = await caller.call("POST", PREFIX + JOB, body=BODY)
+        assert reply.status == 200
+        # A repeated submission remains one job.
+        again = await caller.call("POST", PREFIX + JOB, body=BODY)
+        assert again.status == 200
+        await caller.until(PREFIX + JOB, {"state": "completed"})
+        await caller.until(PREFIX, {"pending": 0})
+        assert instance.dump()["coordinator"]["jobs"] == 1
+
+    async def test_refusals_tell_why(self, deployment):
+        _, _, caller = deployment
+        unknown = await caller.call("GET", PREFIX + JOB)
+        assert unknown.status == 410
+        assert (await caller.call("GET", "/none/")).status == 404
+        wrong_key = await caller.call("GET", PREFIX + JOB, key="other")
+        assert wrong_key.status == 401
+        broken = await caller.call("POST", PREFIX + JOB, body=b'{"steps":1}')
+        assert broken.status == 400
+        assert "steps" in broken.json()["error"]
+        large = await caller.call("POST", PREFIX + JOB, body=b"x" * 5000)
+        assert large.status == 413
+        assert (await caller.call("GET", PREFIX + JOB)).status == 410
+
+    async def test_a_cancelled_job_is_shown_as_cancelled(self, deployment):
+        standin, _, caller = deployment
+        standin.run_s = 60.0
+        await caller.call("POST", PREFIX + JOB, body=BODY)
+        await caller.until(PREFIX + JOB, {"state": "running"})
+        assert (await caller.call("DELETE", PREFIX + JOB)).status == 200
+        await caller.until(PREFIX + JOB, {"state": "cancelled"})
+        absent = await caller.call("DELETE", PREFIX + "0" * 16)
+        assert absent.status == 410
+
+    async def test_metrics_and_state_are_served(self, deployment):
+        _, instance, _ = deployment
+        url = f"http://{instance.settings.internal}"
+        client = http.HttpClient(url=url)
+        metrics = await client.call("GET", "/metrics")
+        assert b"magnoliaglade_call_latency_seconds" in metrics.body
+        state = await client.call("GET", "/state")
+        assert state.json()["instance"] == "e1"
+        await client.stop()
+
+
+class TestSettings:
+    def test_what_is_written_is_read(self, tmp_path):
+        settings = InstanceSettings(
+            instance=InstanceId("e1"),
+            zone=ZoneId("a"),
+            front=Address(host="127.0.0.1", port=1),
+            ready=Address(host="127.0.0.1", port=2),
+            internal=Address(host="127.0.0.1", port=3),
+            store_address="127.0.0.1:4",
+            bounds=Bounds(longest_lease_s=5.0),
+        )
+        path = tmp_path / "boot.json"
+        path.write_bytes(testing.encode_settings(settings))
+        assert platform.load_settings(path) == settings
--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -17,9 +17,6 @@
 from magnoliaglade import configuration
 from magnoliaglade.types import AccountId, Revision, ZoneId
 
-# Runs on the real clock, one test at a time, with fixed ports in places.
-pytestmark = pytest.mark.xdist_group("real_clock")
-
 OPERATOR_KEY = "operators"
 CALLER_KEY = "club:secret"
 ZONE = "akra-a"
--- a/tests/whole_path/test_commands.py
+++ b/tests/whole_path/test_commands.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 
-import pytest
 import yaml
 from click import testing
 
@@ -11,9 +10,6 @@
 from magnoliaglade.standins import deployment
 from tests.whole_path import test_whole_path as whole_path
 
-# Runs on the real clock, one test at a time, with fixed ports in places.
-pytestmark = pytest.mark.xdist_group("real_clock")
-
 
 async def invoke(cluster, *arguments):
     """Runs a command in a thread, because it has a loop of its own."""
--- a/tests/whole_path/test_whole_path.py
+++ b/tests/whole_path/test_whole_path.py
@@ -3,16 +3,11 @@
 import asyncio
 import contextlib
 
-import pytest
-
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import configuration, execution
 from magnoliaglade.standins import deployment
 from magnoliaglade.types import AccountId, Revision, ZoneId
 
-# Runs on the real clock, one test at a time, with fixed ports in places.
-pytestmark = pytest.mark.xdist_group("real_clock")
-
 ZONES = ("borg-a", "borg-b")
 KEY = "clubs:clubs-secret"
 TIMEOUT_S = 20
