--- a/magnoliaglade/coordinator/_election.py
+++ b/magnoliaglade/coordinator/_election.py
@@ -19,6 +19,8 @@
 # that dies is replaced after this; leases of runs last three times as long.
 LEASE_TTL_S = 2.0
 RENEW_S = 0.5
+# Pause before a renewal without an answer is repeated, in seconds.
+RETRY_S = 0.1
 # Longest wait of a watch on the coordinator's key.
 WATCH_S = 3.0
 # Instances that see the key vanish try at random times within this.
@@ -168,8 +170,10 @@
 
     async def _renew(self) -> None:
         """Renews the lease; returns when the store has ended it."""
+        pause_s = self.renew_s
         while self._lease is not None:
-            await self.clock.sleep(self.renew_s)
+            await self.clock.sleep(pause_s)
+            pause_s = RETRY_S
             sent_s = self.clock.now()
             try:
                 await self.store.renew_lease(self._lease)
@@ -184,6 +188,7 @@
                 )
                 continue
             self.confirmed_at_s = sent_s
+            pause_s = self.renew_s
 
     async def _end_lease(self) -> None:
         lease, self._lease = self._lease, None
--- /dev/null
+++ b/magnoliaglade/coordinator/tests/test_election.py
@@ -0,0 +1,123 @@
+import asyncio
+import random
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import coordinator, store
+from magnoliaglade.jobs import keys
+from magnoliaglade.standins import FaultyStore
+from magnoliaglade.types import InstanceId
+
+
+class Candidates:
+    """Instances that stand for election; each notes its terms."""
+
+    def __init__(self, count=3):
+        self.clock = clock_lib.ManualClock()
+        self.memory = store.InMemoryStore(clock=self.clock)
+        self.stores = [
+            FaultyStore(store=self.memory, clock=self.clock)
+            for _ in range(count)
+        ]
+        self.serving = set()
+        self.epochs = []
+        self.elections = [self.make(n) for n in range(count)]
+
+    def make(self, number):
+        async def term(epoch):
+            self.epochs.append(epoch)
+            self.serving.add(number)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.serving.discard(number)
+
+        return coordinator.Election(
+            store=self.stores[number],
+            clock=self.clock,
+            instance=InstanceId(f"e{number}"),
+            incarnation="1",
+            term=term,
+            random=random.Random(number),
+        )
+
+    async def advance(self, seconds):
+        for _ in range(int(seconds * 10)):
+            await self.clock.advance(0.1)
+            self.memory.expire_leases()
+
+
+@pytest.fixture
+async def candidates():
+    found = Candidates()
+    for election in found.elections:
+        await election.start()
+    yield found
+    for election in found.elections:
+        await election.stop()
+
+
+class TestElection:
+    async def test_one_is_elected(self, candidates):
+        await candidates.advance(1.0)
+        assert len(candidates.serving) == 1
+
+    async def test_a_stop_hands_over_at_once(self, candidates):
+        # Guards against a pool without a coordinator during a planned stop.
+        await candidates.advance(1.0)
+        (first,) = candidates.serving
+        await candidates.elections[first].stop()
+        await candidates.advance(0.3)
+        assert len(candidates.serving) == 1
+        assert first not in candidates.serving
+
+    async def test_epochs_rise(self, candidates):
+        await candidates.advance(1.0)
+        for _ in range(2):
+            (first,) = candidates.serving
+            await candidates.elections[first].stop()
+            await candidates.advance(0.5)
+        assert candidates.epochs == sorted(set(candidates.epochs))
+        assert len(candidates.epochs) == 3
+
+    async def test_one_that_the_store_refuses_is_replaced(self, candidates):
+        # Guards against a coordinator that the store alone refuses.
+        await candidates.advance(1.0)
+        (first,) = candidates.serving
+        candidates.stores[first].is_down = True
+        await candidates.advance(4.0)
+        assert len(candidates.serving - {first}) == 1
+
+    async def test_an_outage_for_all_keeps_the_coordinator(self, candidates):
+        # Guards against a change of coordinators after an outage that is
+        # shorter than the lease without a renewal and its repetition.
+        await candidates.advance(1.0)
+        before = set(candidates.serving)
+        for faulty in candidates.stores:
+            faulty.is_down = True
+        for _ in range(12):
+            await candidates.clock.advance(0.1)
+        for faulty in candidates.stores:
+            faulty.is_down = False
+        await candidates.advance(0.8)
+        assert candidates.serving == before
+
+    async def test_a_lost_answer_to_the_creation_is_found(self):
+        # Guards against a key that nobody acts on although it exists.
+        found = Candidates(count=1)
+        found.stores[0].lost_answers = 0
+        original = found.stores[0].put
+
+        async def put(*args, **options):
+            found.stores[0].put = original
+            found.stores[0].lost_answers = 1
+            return await original(*args, **options)
+
+        found.stores[0].put = put
+        await found.elections[0].start()
+        await found.advance(1.0)
+        assert found.serving == {0}
+        entry = await found.memory.get(keys.COORDINATOR_KEY)
+        assert entry.revision == found.epochs[0]
+        await found.elections[0].stop()
--- /dev/null
+++ b/magnoliaglade/platform/tests/test_decoding.py
@@ -0,0 +1,168 @@
+import ast
+import pathlib
+import re
+
+import orjson
+import pytest
+
+import magnoliaglade
+from magnoliaglade import store
+from magnoliaglade.instance import InstanceSettingsError
+from magnoliaglade.jobs import Resources
+from magnoliaglade.platform import (
+    _boot,
+    _documents,
+    _fields,
+    _submission,
+    decode_operator_state,
+    decode_workers,
+)
+
+WORKER = {
+    "service": "render",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 64000, "memMb": 1000, "gpu": 8},
+    "labels": ["a", "r1-3"],
+    "born": 17,
+}
+WIRE_NAMES = re.compile(
+    r"kv-(key|range|watch|txn|lease|keep)|run-(start|stop)|storeRevision"
+    r"|untilMs|lastSeen|lastCheckpoint|maxPerServer|dataRack|holdMaxMs"
+)
+
+
+def entry(fields, key="servers/i-1"):
+    value = fields if isinstance(fields, bytes) else orjson.dumps(fields)
+    return store.Entry(key=key, value=value, revision=1)
+
+
+def submission(**fields):
+    return orjson.dumps({"spec": "x", "steps": [{"count": 1}]} | fields)
+
+
+class TestWorkers:
+    def test_an_entry_is_read(self):
+        (worker,) = decode_workers([entry(WORKER)])
+        assert worker.worker == "i-1"
+        assert worker.lifetime == 17
+        assert worker.rack == "r1-3"
+        assert worker.capacity == Resources(
+            cores_m=64000, memory_mb=1000, accelerators=8
+        )
+
+    @pytest.mark.parametrize(
+        "broken",
+        [
+            b"\xff\x00",
+            b"[]",
+            {**WORKER, "state": "odd"},
+            {**WORKER, "address": 5},
+            {k: v for k, v in WORKER.items() if k != "zone"},
+            {**WORKER, "labels": [1]},
+            {**WORKER, "capacity": {"gpu": "8"}},
+        ],
+    )
+    def test_entries_of_other_writers_are_left_out(self, broken):
+        # Guards against one malformed entry that hides the whole pool.
+        found = decode_workers([entry(broken), entry(WORKER, "servers/i-2")])
+        assert [w.worker for w in found] == ["i-2"]
+
+
+class TestOperatorState:
+    def test_a_broken_configuration_keeps_the_zones(self):
+        entries = {
+            "op/config": entry(b"{", "op/config"),
+            "op/evacuate/a": entry({}, "op/evacuate/a"),
+        }
+        state = decode_operator_state(entries)
+        assert state.configuration is None
+        assert state.removed_zones == {"a"}
+
+    def test_keys_lead_to_their_account(self):
+        fields = {
+            "version": 2,
+            "tenants": [{"name": "studio", "apiKeys": ["k1", "k2"]}],
+            "routes": [
+                {"name": "r1", "host": "h", "prefix": "/a/"},
+                {"name": "r2", "host": "h", "prefix": "/a/b/"},
+            ],
+        }
+        state = decode_operator_state({"op/config": entry(fields, "op/config")})
+        configuration = state.configuration
+        assert configuration.account_of("k2") == "studio"
+        assert configuration.account_of("k3") is None
+        assert configuration.match("h", "/a/b/x").name == "r2"
+        assert configuration.match("other", "/a/") is None
+
+
+class TestSubmissions:
+    def test_fields_left_out_read_as_nothing(self):
+        spec = _submission.decode_submission(submission())
+        assert spec.steps[0].demand == Resources()
+        assert not spec.is_timed
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"[]",
+            submission(spec="x" * 4001),
+            submission(steps=[]),
+            submission(steps=[{"count": 0}]),
+            submission(steps=[{"count": 1, "after": [0]}]),
+            submission(steps=[{"count": True}]),
+            submission(steps=[{"count": 1, "cpu": "2"}]),
+            submission(steps=[{"count": 9999}]),
+        ],
+    )
+    def test_bad_input_is_named(self, body):
+        with pytest.raises(_fields.MalformedError):
+            _submission.decode_submission(body)
+
+    def test_what_is_not_offered_is_refused(self):
+        # Guards against fields that are ignored and change what runs.
+        body = submission(steps=[{"count": 1, "fills": True}])
+        with pytest.raises(_submission.UnsupportedError):
+            _submission.decode_submission(body)
+
+
+class TestSettings:
+    @pytest.mark.parametrize(
+        ("content", "named"),
+        [
+            (b"{", "boot.json"),
+            (b"{}", "listen|front"),
+            (b'{"listen":{"front":"x"},"internalPorts":[1,2]}', "front"),
+        ],
+    )
+    def test_errors_name_the_key(self, tmp_path, content, named):
+        path = tmp_path / "boot.json"
+        path.write_bytes(content)
+        with pytest.raises(InstanceSettingsError, match=named):
+            _boot.load_settings(path)
+
+
+class TestBoundary:
+    def test_wire_names_stay_in_the_adapter(self):
+        # Guards against the platform's words outside of its folder.
+        root = pathlib.Path(magnoliaglade.__file__).parent
+        found = [
+            str(path.relative_to(root))
+            for path in root.rglob("*.py")
+            if path.relative_to(root).parts[0] != "platform"
+            and WIRE_NAMES.search(path.read_text(encoding="utf-8"))
+        ]
+        assert found == []
+
+    def test_the_adapter_imports_no_decisions(self):
+        root = pathlib.Path(_documents.__file__).parent
+        imported = set()
+        for path in root.glob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+                if isinstance(node, ast.ImportFrom):
+                    imported.add(node.module)
+                    imported |= {f"{node.module}.{n.name}" for n in node.names}
+        for package in ("placement", "coordinator", "scheduling", "execution"):
+            assert f"magnoliaglade.{package}" not in imported
