--- a/magnoliaglade/cli/_main.py
+++ b/magnoliaglade/cli/_main.py
@@ -14,6 +14,7 @@
     "config": ("_configuration", "config"),
     "demo": ("_demo", "demo"),
     "entry": ("_processes", "entry"),
+    "explain": ("_explain", "explain"),
     "job": ("_jobs", "job"),
     "questionnaire": ("_configuration", "questionnaire"),
     "request": ("_jobs", "request"),
