--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -1,7 +1,8 @@
 """The coordinator's link to one worker: observes it and renews its lease."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
 
 from magnoliaglade import clock as clock_lib
@@ -137,6 +138,30 @@
         self.listed = listed
         self.is_listed = True
 
+    @contextlib.asynccontextmanager
+    async def offered_lease(
+        self, *, renews: bool = True
+    ) -> AsyncIterator[int | None]:
+        """Offers a lease with the call inside; yields its end, or None.
+
+        A call that was not sent leaves the bound as it was.
+        """
+        offer = None
+        if renews:
+            offer = self.lease.offer(self.clock.now(), self.lease.longest_s)
+        try:
+            yield offer.until_ms if offer else None
+        except fleet.WorkerNotReachedError:
+            if offer:
+                self.lease.withdraw(offer)
+            raise
+        except BaseException:
+            if offer:
+                self.lease.confirm(offer)
+            raise
+        if offer:
+            self.lease.confirm(offer)
+
     def dump(self) -> dict[str, Any]:
         """Returns what is known of the worker."""
         return {
@@ -171,12 +196,13 @@
             if is_stored:
                 self._acknowledged = number
         requested_at_s = self.clock.now()
-        report = await self.client.observe(
-            epoch=self.owner.epoch,
-            acknowledged=self._acknowledged,
-            lease_until_ms=self._lease_until_ms(requested_at_s),
-            wait_s=self._wait_s(number),
-        )
+        async with self.offered_lease(renews=self.owner.may_renew()) as until:
+            report = await self.client.observe(
+                epoch=self.owner.epoch,
+                acknowledged=self._acknowledged,
+                lease_until_ms=until,
+                wait_s=self._wait_s(number),
+            )
         self._note_answer(report)
         position = self.owner.handle_report(self, report, requested_at_s)
         if report.ended:
@@ -213,11 +239,6 @@
         self.leaves_at_s = float("inf")
         self.lease.forget_clock()
 
-    def _lease_until_ms(self, now_s: float) -> int | None:
-        if not self.owner.may_renew():
-            return None
-        return self.lease.next_until_ms(now_s, self.lease.longest_s)
-
     def _wait_s(self, pending_number: int) -> float:
         if not self.lease.is_synchronized:
             return 0.0
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -103,40 +103,46 @@
         self, progress: JobProgress, key: TaskKey, attempt: Attempt
     ) -> None:
         link = self.links.get(attempt.worker)
-        until_ms = self._lease_until_ms(link, attempt)
-        if link is None or until_ms is None:
+        if link is None or link.lifetime != attempt.lifetime:
             self.on_end(progress, key, attempt.run, RunOutcome.LOST)
             return
         attempt.state = AttemptState.SENT
-        order = fleet.StartOrder(
-            task=progress.job.task_name(key),
-            run=attempt.run,
-            payload=progress.job.spec.payload,
-            lease_until_ms=until_ms,
-            epoch=self.epoch,
-            checkpoint=progress.checkpoint_of(key),
-        )
         try:
-            reply = await link.client.start(order)
-        except (fleet.WorkerNotReachedError, fleet.WorkerReplacedError) as e:
+            reply = await self._order_start(progress, key, attempt, link)
+        except (
+            fleet.WorkerNotReachedError,
+            fleet.WorkerReplacedError,
+        ) as error:
             link.cool_down()
-            _log_order(order, link, repr(e))
+            self._log_start(progress, key, attempt, repr(error))
             self.on_end(progress, key, attempt.run, RunOutcome.LOST)
-            return
         except fleet.FleetError as error:
             # The next report tells whether the run is there.
             attempt.answered_by_s = self.clock.now()
             link.cool_down()
-            _log_order(order, link, repr(error))
-            return
-        self._note_start(progress, key, attempt, link, order, reply)
+            self._log_start(progress, key, attempt, repr(error))
+        else:
+            self._note_start(progress, key, attempt, link, reply)
 
-    def _lease_until_ms(
-        self, link: WorkerLink | None, attempt: Attempt
-    ) -> int | None:
-        if link is None or link.lifetime != attempt.lifetime:
-            return None
-        return link.lease.next_until_ms(self.clock.now(), link.lease.longest_s)
+    async def _order_start(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        link: WorkerLink,
+    ) -> fleet.OrderReply:
+        async with link.offered_lease() as until_ms:
+            if until_ms is None:
+                raise fleet.WorkerNotReachedError("its clock is unknown")
+            order = fleet.StartOrder(
+                task=progress.job.task_name(key),
+                run=attempt.run,
+                payload=progress.job.spec.payload,
+                lease_until_ms=until_ms,
+                epoch=self.epoch,
+                checkpoint=progress.checkpoint_of(key),
+            )
+            return await link.client.start(order)
 
     def _note_start(
         self,
@@ -144,10 +150,9 @@
         key: TaskKey,
         attempt: Attempt,
         link: WorkerLink,
-        order: fleet.StartOrder,
         reply: fleet.OrderReply,
     ) -> None:
-        _log_order(order, link, reply.outcome.value)
+        self._log_start(progress, key, attempt, reply.outcome.value)
         if reply.outcome is OrderOutcome.FENCED:
             self.on_fenced(link)
             return
@@ -162,6 +167,23 @@
             attempt.state = AttemptState.RUNNING
             attempt.percent_at_s = self.clock.now()
 
+    def _log_start(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        outcome: str,
+    ) -> None:
+        observability.log_event(
+            "start",
+            task=progress.job.task_name(key),
+            run=attempt.run,
+            worker=attempt.worker,
+            outcome=outcome,
+            epoch=self.epoch,
+            has_checkpoint=bool(progress.checkpoint_of(key)),
+        )
+
     async def _stop(
         self,
         progress: JobProgress,
@@ -220,15 +242,3 @@
 def _is_current(progress: JobProgress, key: TaskKey, attempt: Attempt) -> bool:
     task = progress.task(key)
     return task is not None and task.attempt is attempt
-
-
-def _log_order(order: fleet.StartOrder, link: WorkerLink, outcome: str) -> None:
-    observability.log_event(
-        "start",
-        task=order.task,
-        run=order.run,
-        worker=link.worker,
-        outcome=outcome,
-        epoch=order.epoch,
-        has_checkpoint=bool(order.checkpoint),
-    )
--- a/magnoliaglade/coordinator/tests/test_coordinator.py
+++ b/magnoliaglade/coordinator/tests/test_coordinator.py
@@ -298,6 +298,20 @@
         zones = {e.zone for e in deployment.engines.values() if e.starts}
         assert zones == {"b"}
 
+    async def test_runs_on_a_worker_that_vanished_are_made_again(
+        self, deployment
+    ):
+        # Guards against runs that are waited for for ever: looks that reach
+        # nobody must not count as renewals of the lease.
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        (holder,) = deployment.where(f"{job}.0.0.0")
+        deployment.engines[holder].faults.is_cut = True
+        deployment.unlisted.add(holder)
+        await deployment.clock.advance(14.0)
+        assert await deployment.state(job) is JobState.COMPLETED
+
 
 class TestCapacity:
     async def test_stops_count_until_they_are_listed(self, deployment):
--- a/magnoliaglade/fleet/__init__.py
+++ b/magnoliaglade/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Workers that run tasks: interface, reports and lease bounds."""
 
-from magnoliaglade.fleet._lease import CLOCK_DRIFT, LeaseBound
+from magnoliaglade.fleet._lease import CLOCK_DRIFT, LeaseBound, Offer
 from magnoliaglade.fleet.base import (
     FleetError,
     ListedWorker,
@@ -22,6 +22,7 @@
     "FleetError",
     "LeaseBound",
     "ListedWorker",
+    "Offer",
     "OrderOutcome",
     "OrderReply",
     "OrderUnknownError",
--- a/magnoliaglade/fleet/_lease.py
+++ b/magnoliaglade/fleet/_lease.py
@@ -5,12 +5,28 @@
 clock runs slow.
 """
 
+import dataclasses
+
 from magnoliaglade import base
 
 # A worker's clock may run this much slower than the coordinator's.
 CLOCK_DRIFT = 0.02
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Offer:
+    """A lease end that is being sent to a worker.
+
+    Attributes:
+        until_ms: the end on the worker's clock.
+        ends_at_s: the latest time, on the caller's clock, at which a lease
+            that was granted by it ends.
+    """
+
+    until_ms: int
+    ends_at_s: float
+
+
 class LeaseBound(base.Parameterized):
     """Tracks one worker's clock and the latest lease end sent to it.
 
@@ -27,9 +43,16 @@
     def __init__(self, *, longest_s: float, drift: float = CLOCK_DRIFT) -> None:
         self.longest_s = longest_s
         self.drift = drift
-        self.ends_at_s = float("-inf")
+        self._granted_until_s = float("-inf")
+        self._offers: list[Offer] = []
         self._anchor: tuple[float, int] | None = None
 
+    @property
+    def ends_at_s(self) -> float:
+        """Time at which every lease that may be granted has ended."""
+        offered = (o.ends_at_s for o in self._offers)
+        return max(self._granted_until_s, max(offered, default=float("-inf")))
+
     @property
     def is_synchronized(self) -> bool:
         """Whether the worker's clock is known."""
@@ -51,17 +74,37 @@
         at_s, clock_ms = self._anchor
         return clock_ms + (now_s - at_s) * 1000.0 * (1.0 - self.drift)
 
-    def next_until_ms(self, now_s: float, lease_s: float) -> int | None:
-        """Returns a lease end to send now, and counts it as granted."""
+    def offer(self, now_s: float, lease_s: float) -> Offer | None:
+        """Returns a lease end to send now; None if the clock is unknown.
+
+        It counts as granted until it is withdrawn.
+        """
         if self._anchor is None:
             return None
-        self.assume_granted(now_s, lease_s)
-        return int(self.clock_ms(now_s) + lease_s * 1000.0)
+        offer = Offer(
+            until_ms=int(self.clock_ms(now_s) + lease_s * 1000.0),
+            ends_at_s=self._end_s(now_s, lease_s),
+        )
+        self._offers.append(offer)
+        return offer
+
+    def confirm(self, offer: Offer) -> None:
+        """Takes note that an offer was sent, answered or not."""
+        self._offers.remove(offer)
+        self._granted_until_s = max(self._granted_until_s, offer.ends_at_s)
+
+    def withdraw(self, offer: Offer) -> None:
+        """Takes note that an offer was never sent."""
+        self._offers.remove(offer)
 
     def assume_granted(self, now_s: float, lease_s: float) -> None:
         """Counts a lease of `lease_s` from now as granted."""
-        end_s = now_s + min(lease_s, self.longest_s) / (1.0 - self.drift)
-        self.ends_at_s = max(self.ends_at_s, end_s)
+        self._granted_until_s = max(
+            self._granted_until_s, self._end_s(now_s, lease_s)
+        )
+
+    def _end_s(self, now_s: float, lease_s: float) -> float:
+        return now_s + min(lease_s, self.longest_s) / (1.0 - self.drift)
 
     def has_ended(self, now_s: float, *, margin_s: float) -> bool:
         """Tells whether nothing started under a sent lease can still run."""
