--- a/magnoliaglade/placement/_trust.py
+++ b/magnoliaglade/placement/_trust.py
@@ -25,6 +25,7 @@
 
     SUCCESS = 0.0
     FAILURE = 1.0
+    SLOW = 0.6
     STALL = 2.0
 
 
