--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -491,10 +491,6 @@
             attempt.percent_at_s = now_s
         if attempt.settled_at_s is None:
             attempt.settled_at_s = now_s
-        attempt.seen_at_s = now_s
-        if not attempt.first_percent_at_s:
-            attempt.first_percent_at_s = now_s
-            attempt.first_percent = percent
         # A late order may have reached another lifetime than it was for.
         attempt.lifetime = report.lifetime
         if percent != attempt.percent:
@@ -565,29 +561,12 @@
             ),
         )
         found = []
-        spec = progress.spec_of(start.unit.step)
         for key in begun:
             task = progress.task(key)
             if task is not None and task.attempt is not None:
-                task.attempt.expected_factor = self._factor(
-                    start, spec, task.attempt
-                )
                 found.append((progress, key, task.attempt))
         return found
 
-    def _factor(
-        self,
-        start: placement.Start,
-        spec: jobs.StepSpec,
-        attempt: jobs.Attempt,
-    ) -> float:
-        """Returns how much longer a run takes at its place than declared."""
-        labels = self.links[attempt.worker].listed.labels
-        is_far = spec.data_rack not in ("", *labels)
-        is_split = spec.same_rack and start.is_spread
-        far_factor = self.timings.run_times.far_factor
-        return far_factor if is_far or is_split else 1.0
-
     async def _launch(
         self,
         begun: list[tuple[JobProgress, TaskKey, jobs.Attempt]],
@@ -665,14 +644,6 @@
             spec, attempt, departure, now_s=now_s, remaining_s=remaining_s
         ):
             reason = "worker leaves"
-        elif _watchdog.is_too_slow(
-            spec,
-            attempt,
-            left_s=progress.job.objective_at_s(key.occurrence)
-            - self.clock.time(),
-        ):
-            reason = "slow"
-            self._avoid_slow(progress, key)
         else:
             return
         observability.log_event(
@@ -688,22 +659,6 @@
         index = None if spec.is_gang else key.index
         self._stop_unit(progress, UnitId(progress.job.job, step), index)
 
-    def _avoid_slow(self, progress: JobProgress, key: TaskKey) -> None:
-        """Keeps a slow run away from its worker, a gang from all of its own.
-
-        Which member holds a gang up is not known.
-        """
-        step_key = jobs.StepKey(key.occurrence, key.step)
-        if not progress.spec_of(step_key).is_gang:
-            members = [(key.index, progress.task(key))]
-        else:
-            members = list(enumerate(progress.step(step_key).tasks))
-        workers = {t.attempt.worker for _, t in members if t and t.attempt}
-        for worker in workers:
-            progress.avoid(key, worker)
-        if len(workers) == 1:
-            self._observe(progress, workers.pop(), Evidence.SLOW)
-
     # Counts, retention and the end of a term.
 
     async def _publish_counts(self) -> None:
--- a/magnoliaglade/coordinator/_watchdog.py
+++ b/magnoliaglade/coordinator/_watchdog.py
@@ -12,14 +12,6 @@
 # duration of one percent, and the time below, before it counts as stalled.
 STALL_FACTOR = 12.0
 STALL_S = 2.5
-# A run is slow if it takes this many times the declared duration, which may be
-# half of the true one; it is judged after the time below, in seconds.
-SLOW_FACTOR = 3.0
-SLOW_S = 0.8
-# A slow run is left alone once this much of its work is done, in percent, or
-# after this many runs of its task.
-SLOW_KEPT_PERCENT = 60.0
-SLOW_RUNS = 3
 # Time before a worker leaves at which its runs are stopped, beyond the time
 # that a stop takes.
 LEAVE_MARGIN_S = 0.4
@@ -43,32 +35,6 @@
     return now_s - attempt.percent_at_s > allowed_s
 
 
-def is_too_slow(spec: StepSpec, attempt: Attempt, *, left_s: float) -> bool:
-    """Tells whether a run should be made again on another worker.
-
-    Answers workers that take several times as long as others. A run that
-    still meets its objective goes on.
-
-    Args:
-        spec: the step.
-        attempt: the run.
-        left_s: seconds until the job's objective.
-    """
-    if attempt.state is not AttemptState.RUNNING or spec.is_long_running:
-        return False
-    seen_s = attempt.seen_at_s - attempt.first_percent_at_s
-    if not attempt.first_percent_at_s or seen_s < SLOW_S:
-        return False
-    if attempt.percent > SLOW_KEPT_PERCENT or attempt.run > SLOW_RUNS:
-        return False
-    expected_s = max(0.1, spec.estimate_s * attempt.expected_factor)
-    # Progress comes in whole percents; the one under way counts as done.
-    done = attempt.percent - attempt.first_percent + 1.0
-    if done * SLOW_FACTOR >= 100.0 * seen_s / expected_s:
-        return False
-    return seen_s / done * (100.0 - attempt.percent) > left_s
-
-
 def must_leave(
     spec: StepSpec,
     attempt: Attempt,
--- a/magnoliaglade/coordinator/tests/test_watchdog.py
+++ b/magnoliaglade/coordinator/tests/test_watchdog.py
@@ -37,32 +37,6 @@
         assert not _watchdog.is_stalled(spec, attempt(), now_s=200.0)
 
 
-class TestSlowRuns:
-    def is_slow(self, percent, *, left_s=1.0, **fields):
-        found = attempt(
-            percent=percent,
-            first_percent_at_s=100.0,
-            seen_at_s=101.0,
-            **fields,
-        )
-        spec = harness.make_step(estimate_s=4.0)
-        return _watchdog.is_too_slow(spec, found, left_s=left_s)
-
-    def test_a_run_on_a_slow_worker_is_made_again(self):
-        # Load pattern: a sixth of the workers take six times as long.
-        assert self.is_slow(4.0)
-        assert not self.is_slow(12.0)
-
-    def test_a_run_that_meets_its_objective_goes_on(self):
-        assert not self.is_slow(4.0, left_s=60.0)
-
-    def test_a_run_far_from_its_data_is_expected_to_be_slow(self):
-        assert not self.is_slow(4.0, expected_factor=3.0)
-
-    def test_a_task_does_not_move_for_ever(self):
-        assert not self.is_slow(4.0, run=4)
-
-
 class TestDepartures:
     def test_work_that_ends_in_time_stays(self):
         assert not must_leave(
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -51,10 +51,6 @@
         answered_by_s: monotonic time at which the call of the order ended.
         percent: work done when last seen.
         percent_at_s: monotonic time since when `percent` has not changed.
-        seen_at_s: monotonic time of the last look that showed the run.
-        first_percent: work done when first seen, as by a checkpoint.
-        first_percent_at_s: monotonic time of that; 0 before.
-        expected_factor: factor on the declared duration at this place.
     """
 
     run: int
@@ -66,29 +62,17 @@
     answered_by_s: float = float("inf")
     percent: float = 0.0
     percent_at_s: float = 0.0
-    seen_at_s: float = 0.0
-    first_percent: float = 0.0
-    first_percent_at_s: float = 0.0
-    expected_factor: float = 1.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TaskProgress:
-    """One task.
-
-    Attributes:
-        run: number of its last run; 0 if there was none.
-        failures: runs that ended as failed.
-        is_done: whether it has ended well.
-        attempt: the run that is, or may be, on a worker.
-        avoided: workers on which it failed or was too slow.
-    """
+    """One task: its highest run, its attempt if any, failures, result."""
 
     run: int = 0
     failures: int = 0
     is_done: bool = False
     attempt: Attempt | None = None
-    avoided: frozenset[WorkerId] = frozenset()
+    failed_on: frozenset[WorkerId] = frozenset()
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -217,7 +201,7 @@
         if outcome is RunOutcome.DONE:
             self._complete(step_key, step, key.index)
         elif outcome is RunOutcome.FAILED:
-            task.avoided |= {attempt.worker}
+            task.failed_on |= {attempt.worker}
             self._count_failure(step_key, step, task, run)
         self._close_step(step_key, step)
         return True
@@ -235,18 +219,12 @@
         if value and step is not None:
             step.checkpoints[self._slot(key)] = value
 
-    def avoided(self, key: StepKey) -> frozenset[WorkerId]:
-        """Returns workers that the step's tasks must not use again."""
+    def failed_on(self, key: StepKey) -> frozenset[WorkerId]:
+        """Returns workers on which a task of the step has failed."""
         step = self.steps.get(key)
         if step is None:
             return frozenset()
-        return frozenset().union(*(t.avoided for t in step.tasks))
-
-    def avoid(self, key: TaskKey, worker: WorkerId) -> None:
-        """Keeps later runs of a task away from a worker."""
-        task = self.task(key)
-        if task is not None:
-            task.avoided |= {worker}
+        return frozenset().union(*(t.failed_on for t in step.tasks))
 
     def settle(self) -> None:
         """Sets the final state once every step is complete."""
--- a/magnoliaglade/jobs/_records.py
+++ b/magnoliaglade/jobs/_records.py
@@ -133,7 +133,7 @@
 
 def _encode_step(step: StepProgress) -> list[Any]:
     tasks = [
-        [index, task.run, task.failures, task.is_done, sorted(task.avoided)]
+        [index, task.run, task.failures, task.is_done, sorted(task.failed_on)]
         + _encode_attempt(task.attempt)
         for index, task in enumerate(step.tasks)
         if task.run
@@ -150,12 +150,12 @@
 def _decode_step_progress(fields: list[Any], count: int) -> StepProgress:
     gang_failures, failed_run, checkpoints, rows = fields
     tasks = [TaskProgress() for _ in range(count)]
-    for index, run, failures, is_done, avoided, *attempt in rows:
+    for index, run, failures, is_done, failed_on, *attempt in rows:
         tasks[index] = TaskProgress(
             run=run,
             failures=failures,
             is_done=is_done,
-            avoided=frozenset(WorkerId(w) for w in avoided),
+            failed_on=frozenset(WorkerId(w) for w in failed_on),
             attempt=_decode_attempt(attempt),
         )
     return StepProgress(
--- a/magnoliaglade/placement/_trust.py
+++ b/magnoliaglade/placement/_trust.py
@@ -25,7 +25,6 @@
 
     SUCCESS = 0.0
     FAILURE = 1.0
-    SLOW = 0.6
     STALL = 2.0
 
 
