--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -65,6 +65,8 @@
         self, progress: JobProgress, key: TaskKey, attempt: Attempt
     ) -> None:
         """Orders the start of a planned run that is stored."""
+        # From here on only the worker's word ends the run.
+        attempt.state = AttemptState.SENT
         self._spawn(self._start(progress, key, attempt))
 
     def send_stop(
@@ -106,7 +108,6 @@
         if link is None or link.lifetime != attempt.lifetime:
             self.on_end(progress, key, attempt.run, RunOutcome.LOST)
             return
-        attempt.state = AttemptState.SENT
         try:
             reply = await self._order_start(progress, key, attempt, link)
         except (
--- /dev/null
+++ b/magnoliaglade/coordinator/tests/test_orders.py
@@ -0,0 +1,38 @@
+import pytest
+
+from magnoliaglade.coordinator.tests import harness
+from magnoliaglade.jobs import StepKey
+
+
+@pytest.fixture
+async def deployment():
+    found = harness.Deployment()
+    yield found
+    await found.stop()
+
+
+class TestStartAndStop:
+    async def test_a_stop_right_after_a_start_leaves_no_run(self, deployment):
+        # Guards against a start that leaves after its run was given up: on a
+        # full pool a plan may preempt what the plan before has just sent, and
+        # the next run then meets it.
+        current = await deployment.elect()
+        await deployment.clock.advance(0.5)
+        progress = current.table.add(harness.make_job("a"))
+        (link,) = [x for w, x in current.links.items() if w == "w0"]
+        (key,) = current.table.begin(
+            progress,
+            StepKey(0, 0),
+            [(0, link.worker, link.lifetime)],
+            now_s=deployment.clock.time(),
+        )
+        attempt = progress.task(key).attempt
+        current.sender.send_start(progress, key, attempt)
+        current.sender.send_stop(progress, key, attempt)
+        was_free = progress.task(key).attempt is None
+        await deployment.clock.advance(0.02)
+        is_running = bool(deployment.engines["w0"].running)
+        assert not (was_free and is_running)
+        await deployment.clock.advance(1.0)
+        # What runs now is a later run that was planned after the stop.
+        assert 1 not in deployment.engines["w0"].running.values()
--- a/magnoliaglade/platform/testing.py
+++ b/magnoliaglade/platform/testing.py
@@ -85,6 +85,11 @@
     return _documents.OPERATOR_PREFIX + "config", orjson.dumps(fields)
 
 
+def submission(steps: list[dict[str, Any]], *, payload: str = "x") -> bytes:
+    """Returns the body of a submission."""
+    return orjson.dumps({"spec": payload, "steps": steps})
+
+
 def encode_settings(settings: InstanceSettings) -> bytes:
     """Returns the content of a settings file."""
     fields = {
