--- /dev/null
+++ b/magnoliaglade/coordinator/_housekeeping.py
@@ -0,0 +1,89 @@
+"""Counts of waiting jobs, and removal of records that nobody needs."""
+
+import msgpack
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import observability, store
+from magnoliaglade.coordinator._journal import Journal
+from magnoliaglade.coordinator._table import JobTable
+from magnoliaglade.jobs import keys
+from magnoliaglade.types import JobId
+
+# Interval of publishing counts of waiting jobs in seconds.
+COUNTS_S = 0.8
+# Ended jobs are removed this long after callers may have forgotten them.
+RETENTION_MARGIN_S = 30.0
+# Interval of looking for ended jobs to remove, in seconds.
+CLEAN_UP_S = 5.0
+
+
+class Housekeeping:
+    """Periodic work on the jobs' records.
+
+    Attributes:
+        store: the platform's key-value service.
+        clock: source of time.
+        table: the jobs.
+        journal: stores counts and removals.
+        status_s: an ended job is known at least this long, in seconds.
+        ended_at_s: when jobs were seen to have ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: store.TransactionalStore,
+        clock: clock_lib.Clock,
+        table: JobTable,
+        journal: Journal,
+        status_s: float,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.table = table
+        self.journal = journal
+        self.status_s = status_s
+        self.ended_at_s: dict[JobId, float] = {}
+        self._published: dict[str, int] | None = None
+
+    def note_end(self, job: JobId) -> None:
+        """Takes note that a job has ended."""
+        self.ended_at_s.setdefault(job, self.clock.now())
+
+    async def publish_counts(self) -> None:
+        """Publishes how many jobs of each queue have started no task."""
+        while True:
+            counts: dict[str, int] = {}
+            for progress in self.table.active_jobs():
+                is_waiting = not progress.has_started
+                if is_waiting and not progress.state.is_final:
+                    queue = progress.job.queue
+                    counts[queue] = counts.get(queue, 0) + 1
+            if counts != self._published:
+                self._published = counts
+                packed = msgpack.packb(counts)
+                self.journal.write(keys.COUNTS_KEY, lambda p=packed: p)
+            await self.clock.sleep(COUNTS_S)
+
+    async def clean_up(self) -> None:
+        """Removes records of jobs that ended long ago."""
+        keep_s = self.status_s + RETENTION_MARGIN_S
+        while True:
+            await self.clock.sleep(CLEAN_UP_S)
+            now_s = self.clock.now()
+            for job, ended_at_s in list(self.ended_at_s.items()):
+                if now_s - ended_at_s > keep_s and job not in self.table.active:
+                    await self._remove(job)
+
+    async def _remove(self, job: JobId) -> None:
+        try:
+            await self.store.delete(keys.job_key(job))
+            await self.store.delete(keys.cancellation_key(job))
+        except store.StoreError as error:
+            observability.log_event(
+                "job", state="not removed", job=job, reason=str(error)
+            )
+            return
+        self.journal.write(keys.progress_key(job), lambda: None)
+        self.table.remove(job)
+        del self.ended_at_s[job]
--- /dev/null
+++ b/magnoliaglade/coordinator/_planning.py
@@ -0,0 +1,225 @@
+"""Makes plans and carries them out."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import jobs, observability, placement
+from magnoliaglade.coordinator import _watchdog
+from magnoliaglade.coordinator._journal import Journal
+from magnoliaglade.coordinator._link import WorkerLink
+from magnoliaglade.coordinator._orders import OrderSender
+from magnoliaglade.coordinator._snapshot import SnapshotBuilder
+from magnoliaglade.coordinator._table import JobTable
+from magnoliaglade.jobs import JobProgress, TaskKey
+from magnoliaglade.placement import UnitId
+from magnoliaglade.types import WorkerId
+
+# Longest time between two plans in seconds, for work that falls due.
+PLAN_S = 0.25
+
+
+class PlanRunner:
+    """Plans on every change; starts are stored before they are sent.
+
+    Attributes:
+        planner: makes plans.
+        snapshots: builds what a plan depends on.
+        table: the jobs.
+        links: links by worker.
+        journal: stores starts before they are sent.
+        sender: sends orders.
+        clock: source of time.
+        stop_s: longest time that a worker takes to stop a run, in seconds.
+        on_planned: called with a job whose planned runs have to be stored.
+        on_lost: called with job, task and run of a start that is not sent.
+        on_stall: called with job and worker of a run that stands still.
+        wake: set when something has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        planner: placement.Planner,
+        snapshots: SnapshotBuilder,
+        table: JobTable,
+        links: dict[WorkerId, WorkerLink],
+        journal: Journal,
+        sender: OrderSender,
+        clock: clock_lib.Clock,
+        stop_s: float,
+        on_planned: Callable[[JobProgress], None],
+        on_lost: Callable[[JobProgress, TaskKey, int], None],
+        on_stall: Callable[[JobProgress, WorkerId], None],
+    ) -> None:
+        self.planner = planner
+        self.snapshots = snapshots
+        self.table = table
+        self.links = links
+        self.journal = journal
+        self.sender = sender
+        self.clock = clock
+        self.stop_s = stop_s
+        self.on_planned = on_planned
+        self.on_lost = on_lost
+        self.on_stall = on_stall
+        self.wake = asyncio.Event()
+        self._launches: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Abandons starts that have not been sent."""
+        for launch in self._launches:
+            launch.cancel()
+        await asyncio.gather(*self._launches, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Plans whenever something has changed, until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await self.clock.wait_for(self.wake.wait(), PLAN_S)
+            self.wake.clear()
+            self._plan()
+
+    def _plan(self) -> None:
+        self._stop_hopeless_runs()
+        wall_s = self.clock.time()
+        snapshot = self.snapshots.build(
+            self.links.values(), wall_s=wall_s, now_s=self.clock.now()
+        )
+        if not snapshot.demands:
+            return
+        plan = self.planner.plan(snapshot)
+        for preemption in plan.preemptions:
+            self._preempt(preemption)
+        begun = [
+            item for start in plan.starts for item in self._begin(start, wall_s)
+        ]
+        if begun:
+            launch = asyncio.ensure_future(
+                self._launch(begun, self.journal.position)
+            )
+            self._launches.add(launch)
+            launch.add_done_callback(self._launches.discard)
+
+    def _begin(
+        self, start: placement.Start, wall_s: float
+    ) -> list[tuple[JobProgress, TaskKey, jobs.Attempt]]:
+        progress = self.table.jobs[start.unit.job]
+        placed = [
+            (index, worker, self.links[worker].lifetime)
+            for index, worker in start.placement
+        ]
+        begun = self.table.begin(
+            progress, start.unit.step, placed, now_s=wall_s
+        )
+        self.on_planned(progress)
+        observability.log_event(
+            "placement",
+            job=progress.job.job,
+            step=list(start.unit.step),
+            workers=[w for _, w, _ in placed],
+            spread=start.is_spread,
+            waited_s=round(
+                wall_s - progress.job.arrived_at_s(start.unit.step.occurrence),
+                3,
+            ),
+        )
+        found = []
+        for key in begun:
+            task = progress.task(key)
+            if task is not None and task.attempt is not None:
+                found.append((progress, key, task.attempt))
+        return found
+
+    async def _launch(
+        self,
+        begun: list[tuple[JobProgress, TaskKey, jobs.Attempt]],
+        position: int,
+    ) -> None:
+        """Sends starts once they are stored."""
+        await self.journal.wait_stored(position)
+        removed = self.snapshots.removed_zones()
+        for progress, key, attempt in begun:
+            task = progress.task(key)
+            if task is None or task.attempt is not attempt:
+                continue
+            link = self.links.get(attempt.worker)
+            is_allowed = (
+                link is not None
+                and not progress.state.is_final
+                and not link.listed.is_draining
+                and link.listed.zone not in removed
+            )
+            if is_allowed:
+                self.sender.send_start(progress, key, attempt)
+            else:
+                self.on_lost(progress, key, attempt.run)
+
+    def _preempt(self, preemption: placement.Preemption) -> None:
+        progress = self.table.jobs[preemption.victim.job]
+        observability.log_event(
+            "preemption",
+            job=preemption.victim.job,
+            step=list(preemption.victim.step),
+            index=preemption.index,
+            beneficiary=preemption.beneficiary.job,
+        )
+        self._stop_unit(progress, preemption.victim, preemption.index)
+
+    def _stop_unit(
+        self, progress: JobProgress, unit: UnitId, index: int | None
+    ) -> None:
+        step = progress.steps.get(unit.step)
+        if step is None:
+            return
+        for number, attempt in list(step.attempts()):
+            if index is None or number == index:
+                self.sender.send_stop(
+                    progress, TaskKey(*unit.step, number), attempt
+                )
+
+    def _stop_hopeless_runs(self) -> None:
+        """Stops runs that stand still or that outlive their worker."""
+        now_s = self.clock.now()
+        for worker in self.table.workers():
+            link = self.links.get(worker)
+            if link is None:
+                continue
+            departure = _watchdog.Departure(
+                leaves_at_s=link.leaves_at_s, stop_s=self.stop_s
+            )
+            for progress, key, attempt in self.table.attempts_on(worker):
+                self._check_run(progress, key, attempt, departure, now_s)
+
+    def _check_run(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: jobs.Attempt,
+        departure: _watchdog.Departure,
+        now_s: float,
+    ) -> None:
+        spec = progress.job.spec.steps[key.step]
+        remaining_s = spec.estimate_s * (100.0 - attempt.percent) / 100.0
+        if _watchdog.is_stalled(spec, attempt, now_s=now_s):
+            reason = "stalled"
+            self.on_stall(progress, attempt.worker)
+        elif _watchdog.must_leave(
+            spec, attempt, departure, now_s=now_s, remaining_s=remaining_s
+        ):
+            reason = "worker leaves"
+        else:
+            return
+        observability.log_event(
+            "run",
+            state="given up",
+            reason=reason,
+            task=progress.job.task_name(key),
+            run=attempt.run,
+            worker=attempt.worker,
+            percent=attempt.percent,
+        )
+        step = jobs.StepKey(key.occurrence, key.step)
+        index = None if spec.is_gang else key.index
+        self._stop_unit(progress, UnitId(progress.job.job, step), index)
--- /dev/null
+++ b/magnoliaglade/coordinator/_reports.py
@@ -0,0 +1,147 @@
+"""Applies workers' reports to the jobs."""
+
+from collections.abc import Callable
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade import jobs, placement
+from magnoliaglade.coordinator import _reconcile
+from magnoliaglade.coordinator._journal import Journal
+from magnoliaglade.coordinator._link import WorkerLink
+from magnoliaglade.coordinator._orders import OrderSender
+from magnoliaglade.coordinator._table import JobTable
+from magnoliaglade.fleet import WorkerReport
+from magnoliaglade.jobs import AttemptState, JobProgress, RunOutcome, TaskKey
+from magnoliaglade.placement import Evidence, Observation
+from magnoliaglade.types import WorkerId
+
+OnEnd = Callable[[JobProgress, TaskKey, int, RunOutcome], None]
+
+
+class ReportHandler:
+    """Notes ends, progress and missing runs.
+
+    Attributes:
+        table: the jobs.
+        journal: stores what follows from a report.
+        sender: sends stops.
+        trust: learns from ends.
+        clock: source of time.
+        on_end: called with job, task, run and outcome of each end.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: JobTable,
+        journal: Journal,
+        sender: OrderSender,
+        trust: placement.TrustEstimator,
+        clock: clock_lib.Clock,
+        on_end: OnEnd,
+    ) -> None:
+        self.table = table
+        self.journal = journal
+        self.sender = sender
+        self.trust = trust
+        self.clock = clock
+        self.on_end = on_end
+
+    def handle(
+        self, link: WorkerLink, report: WorkerReport, requested_at_s: float
+    ) -> int:
+        """Applies a report; returns the journal position of its ends."""
+        attempts = self.table.attempts_on(link.worker)
+        expected = {
+            id(item): (item, progress, attempt)
+            for progress, key, attempt in attempts
+            for item in [_expected(progress, key, attempt)]
+        }
+        findings = _reconcile.reconcile(
+            [item for item, _, _ in expected.values()],
+            report,
+            requested_at_s=requested_at_s,
+            handled_end=link.handled_end,
+        )
+        for item, end in findings.ended:
+            _, progress, attempt = expected[id(item)]
+            progress.save_checkpoint(item.key, end.checkpoint)
+            self._observe_end(progress, item.key, attempt.worker, end.outcome)
+            self.on_end(progress, item.key, item.run, end.outcome)
+        for item, status in findings.present:
+            _, progress, attempt = expected[id(item)]
+            progress.save_checkpoint(item.key, status.checkpoint)
+            self._note_present(attempt, status.percent, report)
+        for item in findings.lost:
+            _, progress, _ = expected[id(item)]
+            self.on_end(progress, item.key, item.run, RunOutcome.LOST)
+        for item in findings.unsettled:
+            _, progress, attempt = expected[id(item)]
+            if attempt.state is AttemptState.SENT:
+                self._settle_by_stop(progress, item.key, requested_at_s)
+        for status in findings.strays:
+            self.sender.stop_stray(link, task=status.task, run=status.run)
+        return self.journal.position
+
+    def _observe_end(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        worker: WorkerId,
+        outcome: RunOutcome,
+    ) -> None:
+        evidence = {
+            RunOutcome.DONE: Evidence.SUCCESS,
+            RunOutcome.FAILED: Evidence.FAILURE,
+        }.get(outcome)
+        if evidence is not None:
+            self.observe(progress, worker, evidence)
+
+    def observe(
+        self, progress: JobProgress, worker: WorkerId, evidence: Evidence
+    ) -> None:
+        """Takes evidence about a worker into account."""
+        observation = Observation(
+            worker=worker,
+            job=progress.job.job,
+            evidence=evidence,
+            at_s=self.clock.now(),
+        )
+        self.trust.partial_fit([observation])
+
+    def _note_present(
+        self, attempt: jobs.Attempt, percent: float, report: WorkerReport
+    ) -> None:
+        now_s = self.clock.now()
+        if attempt.state is AttemptState.SENT:
+            attempt.state = AttemptState.RUNNING
+            attempt.percent_at_s = now_s
+        if attempt.settled_at_s is None:
+            attempt.settled_at_s = now_s
+        # A late order may have reached another lifetime than it was for.
+        attempt.lifetime = report.lifetime
+        if percent != attempt.percent:
+            attempt.percent = percent
+            attempt.percent_at_s = now_s
+
+    def _settle_by_stop(
+        self, progress: JobProgress, key: TaskKey, requested_at_s: float
+    ) -> None:
+        """Makes sure that an order without an answer starts nothing."""
+        task = progress.task(key)
+        attempt = task.attempt if task else None
+        if attempt is None or attempt.answered_by_s > requested_at_s:
+            return
+        self.sender.send_stop(progress, key, attempt)
+
+
+def _expected(
+    progress: JobProgress, key: TaskKey, attempt: jobs.Attempt
+) -> _reconcile.Expected:
+    return _reconcile.Expected(
+        job=progress.job.job,
+        key=key,
+        run=attempt.run,
+        lifetime=attempt.lifetime,
+        settled_at_s=attempt.settled_at_s,
+        is_sent=attempt.state is not AttemptState.PLANNED,
+    )
