--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import json
 import pathlib
 import random
 import signal
@@ -56,7 +57,7 @@
         )
         self.proxies = []
         self.processes = {}
-        self.log_sizes = {}
+        self.log_starts = {}
         self.addresses = []
         self.findings = Findings()
         self.clients = []
@@ -128,7 +129,7 @@
         path = self.folder / f"e{number}.json"
         log_path = self.folder / f"e{number}.log"
         is_new = not log_path.exists()
-        self.log_sizes[number] = 0 if is_new else log_path.stat().st_size
+        begin = 0 if is_new else log_path.stat().st_size
         with open(log_path, "ab") as log:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, "-m", "magnoliaglade", "serve"]
@@ -136,6 +137,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.log_starts[self.processes[number].pid] = begin
 
     async def _serves(self, client):
         return (await self._call(client, "GET", PREFIX))[0] == 200
@@ -154,7 +156,10 @@
             return -1, {}
         except http.NoAnswerError:
             return 0, {}
-        return reply.status, reply.json() if reply.body else {}
+        if reply.status not in _STATUSES:
+            self._violate(f"STATUS {method} {reply.status}")
+            return reply.status, {}
+        return reply.status, reply.json()
 
     async def _submit(self):
         """Hands jobs in; each caller repeats its call at other instances."""
@@ -240,17 +245,23 @@
         while process.poll() is None:
             await asyncio.sleep(0.05)
         is_planned = number is signal.SIGTERM
-        if is_planned and not self._has_ended_well(which, process.returncode):
-            self._violate(f"EXIT {process.returncode}")
+        if is_planned and process.returncode not in (0, -signal.SIGKILL):
+            states = self._states(which, process.pid)
+            # Before the first line and after the last nothing is in flight.
+            if states and states[-1] != "stopped":
+                self._violate(f"EXIT {process.returncode} after {states}")
         if self.processes[which] is process:
             self._spawn(which)
 
-    def _has_ended_well(self, which, status):
-        """A process that has not begun to serve may end by the signal."""
-        if status != -signal.SIGTERM:
-            return status in (0, -signal.SIGKILL)
-        log = (self.folder / f"e{which}.log").read_bytes()
-        return b'"started"' not in log[self.log_sizes[which] :]
+    def _states(self, which, pid):
+        """Returns the states that a process has logged of itself."""
+        begin = self.log_starts[pid]
+        data = (self.folder / f"e{which}.log").read_bytes()[begin:]
+        lines = [x for x in data.splitlines() if b"glade:instance" in x]
+        found = [json.loads(x[x.index(b"{") :])["state"] for x in lines]
+        # What follows the first start belongs to the next process.
+        again = [i for i, x in enumerate(found) if x == "started"][1:2]
+        return found[: again[0]] if again else found
 
     async def _pause(self):
         process = self.processes[self.random.randrange(self.count)]
@@ -330,6 +341,7 @@
         await self.platform.stop()
 
 
+_STATUSES = frozenset({200, 401, 404, 410, 503, 504})
 _FINAL = frozenset({JobState.COMPLETED.value, JobState.FAILED.value})
 
 
