Pack whole gangs with the loop that packs single tasks

Cause: pack and pack_some held the same loop, and the order sender kept a job table that it never read. Change: pack calls pack_some, which stops once all tasks are placed; the unused parameter is gone. Behaviour is unchanged.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -92,7 +92,6 @@
             store=store, clock=clock, guard=(keys.COORDINATOR_KEY, epoch)
         )
         self.sender = OrderSender(
-            table=self.table,
             links=self.links,
             clock=clock,
             epoch=epoch,
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -7,7 +7,6 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import fleet, observability
 from magnoliaglade.coordinator._link import RETRY_S, WorkerLink
-from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.fleet import OrderOutcome
 from magnoliaglade.jobs import (
     Attempt,
@@ -33,7 +32,6 @@
     """Sends starts and stops; each runs as a task of its own.
 
     Attributes:
-        table: the jobs.
         links: links by worker.
         clock: source of time.
         epoch: epoch of the coordinator.
@@ -45,14 +43,12 @@
     def __init__(
         self,
         *,
-        table: JobTable,
         links: dict[WorkerId, WorkerLink],
         clock: clock_lib.Clock,
         epoch: Epoch,
         on_end: Callable[[JobProgress, TaskKey, int, RunOutcome], None],
         on_fenced: Callable[[WorkerLink], None],
     ) -> None:
-        self.table = table
         self.links = links
         self.clock = clock
         self.epoch = epoch
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -30,15 +30,8 @@
         slots: tasks that fit on a worker.
         count: number of tasks.
     """
-    chosen: list[WorkerId] = []
-    for candidate in sorted(
-        candidates, key=lambda c: _preference(c, demand, room)
-    ):
-        fitting = min(slots(candidate.worker), count - len(chosen))
-        chosen.extend([candidate.worker] * fitting)
-        if len(chosen) == count:
-            return chosen
-    return None
+    chosen = pack_some(demand, candidates, room=room, slots=slots, count=count)
+    return chosen if len(chosen) == count else None
 
 
 def pack_some(
@@ -56,6 +49,8 @@
     ):
         fitting = min(slots(candidate.worker), count - len(chosen))
         chosen.extend([candidate.worker] * fitting)
+        if len(chosen) == count:
+            break
     return chosen
 
 
