Withhold covers_key while the store is out

Cause: the owner of a claim partition reported that no other attempt holds a key although the store was out. An attempt that waits at another instance is stored nowhere and claims the key once the store returns. Change: the owner's reply says that the store was out, and the refusal then leaves covers_key unset. It is still given at once.

--- a/magnoliaglade/requests/_claim_messages.py
+++ b/magnoliaglade/requests/_claim_messages.py
@@ -68,6 +68,8 @@
         is_stored: with state unavailable, whether the claim may be in the log.
         reason: with state unavailable, what the owner lacks.
         is_full: with state unavailable, whether it holds too many claims.
+        is_out: with state unavailable, whether the store did not answer, so
+            that an attempt waiting elsewhere may claim the key later.
     """
 
     state: str
@@ -77,6 +79,7 @@
     is_stored: bool = False
     reason: str = ""
     is_full: bool = False
+    is_out: bool = False
 
 
 @peers.message
--- a/magnoliaglade/requests/_claim_partition.py
+++ b/magnoliaglade/requests/_claim_partition.py
@@ -102,7 +102,9 @@
                 return reply
             if self._table.find(request.key_digest) is None:
                 if has_begun:
-                    return _unavailable("store is out", is_first=self.may_act)
+                    return _unavailable(
+                        "store is out", is_first=self.may_act, is_out=True
+                    )
                 if len(self._table) >= self.max_claims:
                     self.counters["refused_full"] += 1
                     return _unavailable(
@@ -324,6 +326,7 @@
     is_first: bool = False,
     is_stored: bool = False,
     is_full: bool = False,
+    is_out: bool = False,
 ) -> messages.ClaimReply:
     return messages.ClaimReply(
         state=messages.ReplyState.UNAVAILABLE.value,
@@ -331,6 +334,7 @@
         is_first=is_first,
         is_stored=is_stored,
         is_full=is_full,
+        is_out=is_out,
     )
 
 
--- a/magnoliaglade/requests/_claims_client.py
+++ b/magnoliaglade/requests/_claims_client.py
@@ -68,7 +68,7 @@
         result: outcome of the earlier attempt, with KNOWN.
         response: its kept answer, or None.
         covers_key: with UNAVAILABLE, whether the owner confirmed that no
-            other attempt holds the key.
+            other attempt holds the key, or can still claim it.
         reason: with UNAVAILABLE, what was lacking.
         cause: with UNAVAILABLE, the kind of reason.
     """
@@ -309,7 +309,7 @@
     causes = _causes.NotRunCause
     return ClaimDecision(
         status=ClaimStatus.UNAVAILABLE,
-        covers_key=reply.is_first,
+        covers_key=reply.is_first and not reply.is_out,
         reason=reply.reason,
         cause=causes.OVERLOADED if reply.is_full else causes.UNAVAILABLE,
     )
