Wait for running tasks before the planned stop in the whole-path test

Cause: a job is active as soon as its attempt is stored, before any worker has been told. Beside load the test stopped the owner in that gap (0 ms after the state was seen), the owner gave the attempt up with 'starts are not permitted now', and the successor rightly made attempt 2. No task ran twice. Ruled out: a missed renewal or lease; the log shows the handover 60 ms after the submission and no start before it. Change: the test waits until both tasks run on their worker, and also asserts that no worker has begun a further run.

--- a/tests/whole_path/test_whole_path.py
+++ b/tests/whole_path/test_whole_path.py
@@ -78,6 +78,11 @@
     return process.is_ready and all(found)
 
 
+def task_runs(cluster):
+    """Returns every run that a worker has begun."""
+    return [r for w in cluster.workers.values() for r in w.core.runs]
+
+
 async def is_answered(cluster):
     replies = [
         await request(cluster, "quote", entry=e)
@@ -254,11 +259,9 @@
         async with running() as cluster:
             job = await submit(cluster, command=["sleep", "6"], tasks=2)
             domain = job["job"].partition("/")[0]
-
-            async def runs():
-                return (await status(cluster, job))["state"] == "active"
-
-            await until(runs)
+            # A job is active from the moment at which its attempt is stored,
+            # before its workers have been told.
+            await until(lambda: len(task_runs(cluster)) == 2)
             owner = cluster.processes[0].directory.owner_of(domain).instance
             index = next(
                 i
@@ -274,3 +277,4 @@
 
             row = await until(finished)
             assert row["attempt"] == 1
+            assert len(task_runs(cluster)) == 2
