Bound the cost of a plan on a full pool

Cause: the search for victims looked at every worker again for each victim, and the estimate of when a rack becomes free did so for each run that ends. Ruled out: store latency (renewals were answered once they were sent). Change: victims are indexed by worker and searched one worker at a time; demands equal to one that was refused are not tried again in the same plan; a plan makes at most 16 searches and says so if it left some; after a plan the coordinator pauses for at least as long as the plan took. A replaced coordinator logs that it is fenced once instead of once for each worker.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -196,6 +196,8 @@
 
     def fenced(self, link: WorkerLink) -> None:
         """See `LinkOwner.fenced`."""
+        if self._lost.is_set():
+            return
         observability.log_event(
             "coordinator", state="fenced", worker=link.worker, epoch=self.epoch
         )
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -18,6 +18,9 @@
 
 # Longest time between two plans in seconds, for work that falls due.
 PLAN_S = 0.25
+# Shortest pause after a plan in seconds, so that ends and submissions that come
+# together are answered by one plan.
+PLAN_PAUSE_S = 0.01
 
 
 class PlanRunner:
@@ -74,12 +77,19 @@
         await asyncio.gather(*self._launches, return_exceptions=True)
 
     async def run(self) -> None:
-        """Plans whenever something has changed, until cancelled."""
+        """Plans whenever something has changed, until cancelled.
+
+        A plan is followed by a pause of at least its own length, so that
+        renewals and reports get half of the loop's time.
+        """
         while True:
             with contextlib.suppress(TimeoutError):
                 await self.clock.wait_for(self.wake.wait(), PLAN_S)
             self.wake.clear()
+            began_s = self.clock.now()
             self._plan()
+            took_s = self.clock.now() - began_s
+            await self.clock.sleep(max(PLAN_PAUSE_S, took_s))
 
     def _plan(self) -> None:
         self._stop_hopeless_runs()
@@ -90,6 +100,8 @@
         if not snapshot.demands:
             return
         plan = self.planner.plan(snapshot)
+        if not plan.is_complete:
+            self.wake.set()
         for preemption in plan.preemptions:
             self._preempt(preemption)
         begun = [
--- a/magnoliaglade/jobs/_model.py
+++ b/magnoliaglade/jobs/_model.py
@@ -6,6 +6,9 @@
 
 from magnoliaglade.types import AccountId, JobId, QueueName, ServiceName
 
+# Times that a demand for nothing fits.
+UNLIMITED = 1_000_000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Resources:
@@ -39,16 +42,14 @@
 
     def count_of(self, demand: "Resources") -> int:
         """Returns how many times `demand` fits, 0 if not at all."""
-        fits = [
-            have // need
-            for have, need in (
-                (self.cores_m, demand.cores_m),
-                (self.memory_mb, demand.memory_mb),
-                (self.accelerators, demand.accelerators),
-            )
-            if need > 0
-        ]
-        return max(0, min(fits)) if fits else 1_000_000
+        count = UNLIMITED
+        if demand.accelerators > 0:
+            count = self.accelerators // demand.accelerators
+        if demand.cores_m > 0:
+            count = min(count, self.cores_m // demand.cores_m)
+        if demand.memory_mb > 0:
+            count = min(count, self.memory_mb // demand.memory_mb)
+        return max(0, count)
 
 
 class TaskKey(NamedTuple):
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -153,7 +153,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Plan:
-    """What to do now."""
+    """What to do now.
+
+    Attributes:
+        starts: tasks to start.
+        preemptions: runs to stop.
+        is_complete: every demand was considered to the end; otherwise another
+            plan should be made soon.
+    """
 
     starts: tuple[Start, ...] = ()
     preemptions: tuple[Preemption, ...] = ()
+    is_complete: bool = True
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -4,7 +4,7 @@
 so that whole workers and racks stay free for large gangs.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from magnoliaglade.placement._model import Candidate, Demand
 from magnoliaglade.placement._room import Room
@@ -15,7 +15,7 @@
 
 def pack(
     demand: Demand,
-    candidates: Iterable[Candidate],
+    candidates: Sequence[Candidate],
     *,
     room: Room,
     slots: Slots,
@@ -36,19 +36,20 @@
 
 def pack_some(
     demand: Demand,
-    candidates: Iterable[Candidate],
+    candidates: Sequence[Candidate],
     *,
     room: Room,
     slots: Slots,
     count: int,
 ) -> list[WorkerId]:
     """Returns workers for as many of `count` tasks as fit."""
+    fitting = {c.worker: slots(c.worker) for c in candidates}
+    usable = [c for c in candidates if fitting[c.worker]]
+    usable.sort(key=lambda c: _preference(c, demand, room))
     chosen: list[WorkerId] = []
-    for candidate in sorted(
-        candidates, key=lambda c: _preference(c, demand, room)
-    ):
-        fitting = min(slots(candidate.worker), count - len(chosen))
-        chosen.extend([candidate.worker] * fitting)
+    for candidate in usable:
+        taken = min(fitting[candidate.worker], count - len(chosen))
+        chosen.extend([candidate.worker] * taken)
         if len(chosen) == count:
             break
     return chosen
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -15,14 +15,20 @@
     Preemption,
     Snapshot,
     Start,
-    Use,
 )
+from magnoliaglade.placement._refusals import Refusals
 from magnoliaglade.placement._room import Room
 from magnoliaglade.types import WorkerId
 
 # Gangs that keep workers free for themselves at a time. One per pool would do
 # against starvation; two let a second large gang collect its rack meanwhile.
 RESERVATIONS = 2
+# Searches for victims in one plan, 1 to 3 ms each with 175 workers. The next
+# plan goes on with what is left.
+SEARCHES = 16
+# Racks with victims among which the cheapest is chosen; they are tried from the
+# fullest that may do.
+GROUPS_COMPARED = 3
 
 
 class Planner(base.Parameterized):
@@ -32,18 +38,25 @@
         reservations: waiting gangs that keep workers free at a time.
         loss_limit: most work thrown away for a demand without a guarantee, as
             a share of the work that the demand will do.
+        searches: searches for victims in one plan, which bound its cost.
     """
 
     _parameter_constraints = {
         "reservations": [base.Interval(kind=int, low=0)],
         "loss_limit": [base.Interval(kind=float, low=0)],
+        "searches": [base.Interval(kind=int, low=1)],
     }
 
     def __init__(
-        self, *, reservations: int = RESERVATIONS, loss_limit: float = 1.0
+        self,
+        *,
+        reservations: int = RESERVATIONS,
+        loss_limit: float = 1.0,
+        searches: int = SEARCHES,
     ) -> None:
         self.reservations = reservations
         self.loss_limit = loss_limit
+        self.searches = searches
 
     def plan(self, snapshot: Snapshot) -> Plan:
         """Returns starts and preemptions for a snapshot."""
@@ -60,37 +73,47 @@
         self.starts: list[Start] = []
         self.preemptions: list[Preemption] = []
         self.reserved = 0
-        self._stopped: set[tuple[object, object]] = set()
+        self.searches = 0
+        self._victims = _preemption.VictimIndex(uses=snapshot.uses)
+        self._refusals = Refusals()
 
     def run(self) -> Plan:
         ordered = _order.order_demands(
             self.snapshot.demands, now_s=self.snapshot.now_s
         )
         for demand in ordered:
-            if demand.is_gang:
-                self._place_gang(demand)
+            if self._refusals.covers(demand):
+                is_placed = False
+            elif demand.is_gang:
+                is_placed = self._place_gang(demand)
             else:
-                self._place_tasks(demand)
+                is_placed = self._place_tasks(demand)
+            if is_placed:
+                continue
+            self._refusals.add(demand)
+            if demand.is_gang:
+                self._reserve(demand)
         return Plan(
-            starts=tuple(self.starts), preemptions=tuple(self.preemptions)
+            starts=tuple(self.starts),
+            preemptions=tuple(self.preemptions),
+            is_complete=self.searches <= self.planner.searches,
         )
 
-    def _place_gang(self, demand: Demand) -> None:
+    def _place_gang(self, demand: Demand) -> bool:
+        """Starts a gang or makes room for it; tells whether it succeeded."""
         groups = self._groups(demand)
         for group in groups:
             if self._start_in(demand, group):
-                return
+                return True
         if self._may_preempt(demand):
             if any(self._wait_for_stops(demand, group) for group in groups):
-                return
+                return True
             if self._preempt(demand, groups):
-                return
+                return True
         everywhere = [c for group in groups for c in group]
-        if self._may_spread(demand, groups) and self._place_spread(
+        return self._may_spread(demand, groups) and self._place_spread(
             demand, everywhere
-        ):
-            return
-        self._reserve(demand, groups)
+        )
 
     def _place_spread(self, demand: Demand, pool: list[Candidate]) -> bool:
         if self._start_in(demand, pool):
@@ -101,7 +124,8 @@
             demand, [pool]
         )
 
-    def _place_tasks(self, demand: Demand) -> None:
+    def _place_tasks(self, demand: Demand) -> bool:
+        """Starts what fits; tells whether the rest has room or will have."""
         pool = [c for g in self.room.racks(demand).values() for c in g]
         if demand.data_rack and not self._is_pressed(demand):
             near = [c for c in pool if demand.data_rack in c.labels]
@@ -116,12 +140,15 @@
         )
         if chosen:
             self._start(demand, chosen)
-        if len(chosen) < count and self._may_preempt(demand):
-            self._preempt_for_rest(demand, pool, count - len(chosen))
+        if len(chosen) == count:
+            return True
+        if not self._may_preempt(demand):
+            return False
+        return self._preempt_for_rest(demand, pool, count - len(chosen))
 
     def _preempt_for_rest(
         self, demand: Demand, pool: list[Candidate], count: int
-    ) -> None:
+    ) -> bool:
         waiting = _packing.pack(
             demand,
             pool,
@@ -131,8 +158,8 @@
         )
         if waiting is not None:
             self.room.take(demand, waiting)
-            return
-        self._preempt(demand, [pool], count=count)
+            return True
+        return self._preempt(demand, [pool], count=count)
 
     def _groups(self, demand: Demand) -> list[list[Candidate]]:
         """Returns sets of workers to try, best first."""
@@ -210,20 +237,14 @@
     ) -> bool:
         """Stops the cheapest victims in the best of the groups."""
         wanted = len(demand.indexes) if count is None else count
-        victims = _preemption.group_victims(self._uses(), demand)
-        options = [
-            (sum(v.loss for v in chosen), position, chosen)
-            for position, group in enumerate(groups)
-            if (
-                chosen := _preemption.choose_victims(
-                    demand,
-                    group,
-                    room=self.room,
-                    victims=victims,
-                    count=wanted,
-                )
-            )
-        ]
+        options: list[tuple[float, int, list[_preemption.Victim]]] = []
+        for position, group in enumerate(groups):
+            if len(options) == GROUPS_COMPARED:
+                break
+            chosen = self._search(demand, group, wanted)
+            if chosen:
+                loss = sum(v.loss for v in chosen)
+                options.append((loss, position, chosen))
         if not options:
             return False
         loss, position, chosen = min(options, key=lambda o: o[:2])
@@ -246,21 +267,29 @@
         self.room.take(demand, placed or ())
         return True
 
+    def _search(
+        self, demand: Demand, group: list[Candidate], count: int
+    ) -> list[_preemption.Victim] | None:
+        search = _preemption.VictimSearch(
+            demand=demand,
+            candidates=group,
+            room=self.room,
+            index=self._victims,
+        )
+        if not search.may_succeed(count):
+            return None
+        self.searches += 1
+        if self.searches > self.planner.searches:
+            return None
+        return search.run(count)
+
     def _allowed_loss(self, demand: Demand) -> float:
         work = _preemption.core_seconds(demand.resources, demand.estimate_s)
         return self.planner.loss_limit * work * len(demand.indexes)
 
-    def _uses(self) -> Iterable[Use]:
-        for use in self.snapshot.uses:
-            if (use.unit, None) in self._stopped:
-                continue
-            if (use.unit, use.index) in self._stopped:
-                continue
-            yield use
-
     def _stop(self, victims: list[_preemption.Victim], demand: Demand) -> None:
         for victim in victims:
-            self._stopped.add((victim.unit, victim.index))
+            self._victims.stop(victim)
             self.preemptions.append(
                 Preemption(
                     victim=victim.unit,
@@ -288,12 +317,12 @@
             for g in groups
         )
 
-    def _reserve(self, demand: Demand, groups: list[list[Candidate]]) -> None:
+    def _reserve(self, demand: Demand) -> None:
         """Keeps the group free that can hold a waiting gang first."""
-        if self.reserved >= self.planner.reservations or not groups:
+        if self.reserved >= self.planner.reservations:
             return
         options = []
-        for group in groups:
+        for group in self._groups(demand):
             at_s = self._available_at_s(demand, group)
             if at_s is not None:
                 options.append((at_s, group))
@@ -307,14 +336,16 @@
         self, demand: Demand, group: list[Candidate]
     ) -> float | None:
         """Returns when running work leaves room in a group, if ever."""
-        here = {c.worker for c in group}
-        free = {w: self.room.free[w] for w in here}
-        count = len(demand.indexes)
-        uses = [u for u in self.snapshot.uses if u.worker in here]
+        free = {c.worker: self.room.free[c.worker] for c in group}
+        slots = {w: f.count_of(demand.resources) for w, f in free.items()}
+        total = sum(slots.values())
+        uses = [u for c in group for u in self.room.uses.get(c.worker, ())]
         for use in sorted(uses, key=lambda u: u.ends_at_s):
             free[use.worker] += use.demand
-            fitting = sum(f.count_of(demand.resources) for f in free.values())
-            if fitting >= count:
+            fitting = free[use.worker].count_of(demand.resources)
+            total += fitting - slots[use.worker]
+            slots[use.worker] = fitting
+            if total >= len(demand.indexes):
                 return max(use.ends_at_s, self.snapshot.now_s)
         return None
 
--- a/magnoliaglade/placement/_room.py
+++ b/magnoliaglade/placement/_room.py
@@ -1,7 +1,7 @@
 """Free capacity while a plan is being made."""
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from magnoliaglade.jobs import Resources
 from magnoliaglade.placement._model import (
@@ -11,7 +11,7 @@
     UnitId,
     Use,
 )
-from magnoliaglade.types import RackId, WorkerId
+from magnoliaglade.types import RackId, ServiceName, WorkerId
 
 _NOTHING = Resources()
 
@@ -22,6 +22,8 @@
     Attributes:
         free: capacity that is free now, by worker.
         coming: capacity of runs that are stopping, by worker.
+        blocked_until_s: until when a worker is kept for a gang.
+        uses: runs by worker.
     """
 
     def __init__(self, *, snapshot: Snapshot) -> None:
@@ -30,6 +32,11 @@
         self.free = {c.worker: c.capacity for c in snapshot.candidates}
         self.coming: dict[WorkerId, Resources] = {}
         self.blocked_until_s: dict[WorkerId, float] = {}
+        self.uses: dict[WorkerId, list[Use]] = {}
+        self._eligible: dict[
+            tuple[ServiceName, str, frozenset[WorkerId]],
+            dict[RackId, list[Candidate]],
+        ] = {}
         self._placed: collections.Counter[tuple[UnitId, WorkerId]] = (
             collections.Counter()
         )
@@ -38,11 +45,14 @@
 
     def racks(self, demand: Demand) -> dict[RackId, list[Candidate]]:
         """Returns the workers that may run a demand, by rack."""
-        found: dict[RackId, list[Candidate]] = {}
-        for candidate in self.snapshot.candidates:
-            if is_eligible(candidate, demand):
-                found.setdefault(candidate.rack, []).append(candidate)
-        return found
+        key = (demand.service, demand.label, demand.avoided)
+        if key not in self._eligible:
+            found: dict[RackId, list[Candidate]] = {}
+            for candidate in self.snapshot.candidates:
+                if is_eligible(candidate, demand):
+                    found.setdefault(candidate.rack, []).append(candidate)
+            self._eligible[key] = found
+        return self._eligible[key]
 
     def slots(
         self,
@@ -50,16 +60,26 @@
         worker: WorkerId,
         *,
         with_coming: bool = False,
-        freed: Mapping[WorkerId, Resources] | None = None,
+        extra: Resources | None = None,
     ) -> int:
-        """Returns how many tasks of a demand fit on a worker."""
+        """Returns how many tasks of a demand fit on a worker.
+
+        Args:
+            demand: what is placed.
+            worker: the worker.
+            with_coming: counts capacity of runs that are stopping.
+            extra: capacity to count in addition.
+        """
+        space = self.free[worker]
+        is_all = extra is None and not with_coming
+        if is_all and space.accelerators < demand.resources.accelerators:
+            return 0
         if self._is_blocked(demand, worker):
             return 0
-        space = self.free[worker]
-        if with_coming:
-            space += self.coming.get(worker, _NOTHING)
-        if freed:
-            space += freed.get(worker, _NOTHING)
+        if with_coming and worker in self.coming:
+            space += self.coming[worker]
+        if extra is not None:
+            space += extra
         count = space.count_of(demand.resources)
         if demand.max_per_worker:
             used = self._placed[demand.unit, worker]
@@ -88,6 +108,7 @@
         if use.worker not in self.free:
             return
         self.free[use.worker] -= use.demand
+        self.uses.setdefault(use.worker, []).append(use)
         self._placed[use.unit, use.worker] += 1
         if use.is_stopping:
             coming = self.coming.get(use.worker, _NOTHING)
--- /dev/null
+++ b/magnoliaglade/placement/tests/test_cost.py
@@ -0,0 +1,79 @@
+import pytest
+
+from magnoliaglade import placement
+from magnoliaglade.placement import _room
+from magnoliaglade.placement.tests import patterns
+
+
+def full_pool(racks):
+    """A pool whose accelerators all run single tasks that may be stopped."""
+    candidates = patterns.racks(racks)
+    uses = [
+        patterns.use(f"{c.worker}-{n}", c.worker, 1, loss_s=n + 0.1 * i)
+        for i, c in enumerate(candidates)
+        for n in range(8)
+    ]
+    return candidates, uses
+
+
+@pytest.fixture
+def count_looks(monkeypatch):
+    """Counts how often a plan asks what fits on a worker."""
+    calls = []
+    original = _room.Room.slots
+
+    def slots(self, demand, worker, **options):
+        calls.append(worker)
+        return original(self, demand, worker, **options)
+
+    monkeypatch.setattr(_room.Room, "slots", slots)
+
+    def count(candidates, uses, demands, **planner):
+        calls.clear()
+        plan = placement.Planner(**planner).plan(
+            patterns.snapshot(candidates, uses=uses, demands=demands)
+        )
+        return len(calls), plan
+
+    return count
+
+
+class TestCost:
+    # Load pattern: a burst of urgent work on a full pool. A plan that takes
+    # longer than the coordinator's lease makes every coordinator lose its
+    # place, and nothing is started at all.
+
+    def test_a_search_for_victims_grows_with_the_pool(self, count_looks):
+        urgent = patterns.demand("urgent", 6, 8, priority=0, estimate_s=9.0)
+        small, _ = count_looks(*full_pool(8), [urgent])
+        large, plan = count_looks(*full_pool(32), [urgent])
+        assert plan.preemptions
+        # Four times the workers may cost four times as much.
+        assert large <= 4 * small
+
+    def test_equal_demands_are_not_tried_again(self, count_looks):
+        candidates, uses = full_pool(8)
+        waiting = [patterns.demand(f"batch{n}", 4, 8) for n in range(40)]
+        first, _ = count_looks(candidates, uses, waiting[:1])
+        every, _ = count_looks(candidates, uses, waiting)
+        assert every <= 2 * first
+
+    def test_smaller_demands_are_still_tried(self, count_looks):
+        candidates, uses = full_pool(2)
+        demands = [
+            patterns.demand("large", 4, 8, estimate_s=1.0),
+            patterns.demand("s", 1, 8, estimate_s=1.0),
+        ]
+        _, plan = count_looks(candidates, uses[8:], demands)
+        assert patterns.workers_of(plan, "s") == ["w00"]
+
+    def test_what_a_plan_leaves_is_said(self, count_looks):
+        urgent = [
+            patterns.demand(f"urgent{n}", 1, 8, priority=0, estimate_s=9.0)
+            for n in range(3)
+        ]
+        _, plan = count_looks(*full_pool(2), urgent, searches=2)
+        assert not plan.is_complete
+        assert len({p.beneficiary for p in plan.preemptions}) == 2
+        _, plan = count_looks(*full_pool(2), urgent, searches=3)
+        assert plan.is_complete
