Prefer instances with a whole core as coordinator

Cause: on the grown deployments most instances have half a core and a 10 Mbit/s link; any of them could be elected and then plans four times slower. Change: an instance with less than one core leaves a vacancy to the others for up to 0.3 s, in proportion to what it lacks.

--- a/magnoliaglade/coordinator/__init__.py
+++ b/magnoliaglade/coordinator/__init__.py
@@ -1,7 +1,7 @@
 """The coordinator: one elected instance places all jobs on the workers."""
 
 from magnoliaglade.coordinator._coordinator import Coordinator, Timings
-from magnoliaglade.coordinator._election import Election
+from magnoliaglade.coordinator._election import Election, handicap_s
 from magnoliaglade.coordinator._journal import CoordinatorLostError, Journal
 from magnoliaglade.coordinator._snapshot import RunTimes
 
@@ -12,4 +12,5 @@
     "Journal",
     "RunTimes",
     "Timings",
+    "handicap_s",
 ]
--- a/magnoliaglade/coordinator/_election.py
+++ b/magnoliaglade/coordinator/_election.py
@@ -26,10 +26,24 @@
 WATCH_S = 3.0
 # Instances that see the key vanish try at random times within this.
 SPREAD_S = 0.05
+# Processor cores that the coordinator uses for a few hundred workers under
+# load. An instance with fewer stands back by up to the time below, in seconds,
+# which is several times the spread.
+CORES_WANTED = 1.0
+HANDICAP_S = 0.3
 
 Term = Callable[[Epoch], Awaitable[None]]
 
 
+def handicap_s(cores: float) -> float:
+    """Returns how long an instance leaves the place to larger ones.
+
+    Args:
+        cores: processor cores that the instance may use.
+    """
+    return HANDICAP_S * max(0.0, 1.0 - cores / CORES_WANTED)
+
+
 class Election(base.Component):
     """Runs `term` while this instance is the coordinator.
 
@@ -39,11 +53,15 @@
         term: runs the coordinator for an epoch until it is cancelled, or
             returns when it has lost its place.
         random: source of the spread.
+        ttl_s: life of the lease without renewal.
+        renew_s: interval of renewals.
+        handicap_s: seconds for which the place is left to other instances.
     """
 
     _parameter_constraints = {
         "ttl_s": [base.Interval(kind=float, low=0, low_open=True)],
         "renew_s": [base.Interval(kind=float, low=0, low_open=True)],
+        "handicap_s": [base.Interval(kind=float, low=0)],
     }
 
     def __init__(
@@ -57,6 +75,7 @@
         random: random.Random,
         ttl_s: float = LEASE_TTL_S,
         renew_s: float = RENEW_S,
+        handicap_s: float = 0.0,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -66,6 +85,7 @@
         self.random = random
         self.ttl_s = ttl_s
         self.renew_s = renew_s
+        self.handicap_s = handicap_s
         self.epoch: Epoch | None = None
         self.confirmed_at_s = float("-inf")
         self._lease: LeaseId | None = None
@@ -117,7 +137,8 @@
             await self._watcher.reload()
         while keys.COORDINATOR_KEY in self._watcher.entries:
             await self._watcher.step()
-        await self.clock.sleep(self.random.uniform(0.0, SPREAD_S))
+        spread_s = self.random.uniform(0.0, SPREAD_S)
+        await self.clock.sleep(self.handicap_s + spread_s)
 
     async def _acquire(self) -> Epoch | None:
         """Creates the key; returns None if another instance was first."""
--- a/magnoliaglade/coordinator/tests/test_election.py
+++ b/magnoliaglade/coordinator/tests/test_election.py
@@ -63,6 +63,21 @@
         await candidates.advance(1.0)
         assert len(candidates.serving) == 1
 
+    async def test_an_instance_with_room_is_preferred(self):
+        # Guards against a coordinator on an instance too small for it.
+        found = Candidates()
+        small, large = found.elections[:2]
+        small.handicap_s = coordinator.handicap_s(0.5)
+        large.handicap_s = coordinator.handicap_s(2.0)
+        for election in (small, large):
+            await election.start()
+        await found.advance(1.0)
+        assert found.serving == {1}
+        await large.stop()
+        await found.advance(1.0)
+        assert found.serving == {0}
+        await small.stop()
+
     async def test_a_stop_hands_over_at_once(self, candidates):
         # Guards against a pool without a coordinator during a planned stop.
         await candidates.advance(1.0)
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -80,6 +80,7 @@
             incarnation=self.incarnation,
             term=self._serve_term,
             random=random.Random(),  # noqa: S311
+            handicap_s=coordinator.handicap_s(settings.cores),
         )
         self._servers = self._make_servers()
 
--- a/magnoliaglade/instance/_settings.py
+++ b/magnoliaglade/instance/_settings.py
@@ -61,6 +61,7 @@
         internal: address for metrics and state dumps.
         store_address: `host:port` of the platform's key-value service.
         bounds: bounds of the deployment.
+        cores: processor cores that the instance may use.
     """
 
     instance: InstanceId
@@ -70,3 +71,4 @@
     internal: Address
     store_address: str
     bounds: Bounds
+    cores: float = 1.0
--- a/magnoliaglade/platform/_boot.py
+++ b/magnoliaglade/platform/_boot.py
@@ -49,9 +49,16 @@
         internal=Address(host=front.host, port=ports[0]),
         store_address=str(_address(fields.part("platform"), "address")),
         bounds=_bounds(fields.part("bounds"), fields),
+        cores=_cores(fields.part("limits")),
     )
 
 
+def _cores(limits: Fields) -> float:
+    # Both names mislead: the share is of one core, and the second is the speed
+    # of that core as a multiple of the reference one.
+    return (limits.number("cpuShare") or 1.0) * (limits.number("cores") or 1.0)
+
+
 def _bounds(bounds: Fields, fields: Fields) -> Bounds:
     default = Bounds()
 
