Clear the rack that needs least, and leave a data rack that cannot do

Found while reading: a gang with a data rack and no other constraint was never placed elsewhere, so it waited for ever if the rack was too small, removed or gone. Change: racks with most room come first in a search for victims. A gang leaves its data rack under the same rules as a gang leaves a single rack. The limit of tasks on a worker counts in what a rack could hold.

--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -4,7 +4,6 @@
 """
 
 import functools
-from collections.abc import Iterable
 
 from magnoliaglade import base
 from magnoliaglade.placement import _order, _packing, _preemption
@@ -26,8 +25,8 @@
 # Searches for victims in one plan, 1 to 3 ms each with 175 workers. The next
 # plan goes on with what is left.
 SEARCHES = 16
-# Racks with victims among which the cheapest is chosen; they are tried from the
-# fullest that may do.
+# Racks with victims among which the cheapest is chosen; those that need the
+# least stopped come first.
 GROUPS_COMPARED = 3
 
 
@@ -110,11 +109,15 @@
                 return True
             if self._preempt(demand, groups):
                 return True
-        everywhere = [c for group in groups for c in group]
+        if not (demand.same_rack or demand.data_rack):
+            return False
         return self._may_spread(demand, groups) and self._place_spread(
-            demand, everywhere
+            demand, self._pool(demand)
         )
 
+    def _pool(self, demand: Demand) -> list[Candidate]:
+        return [c for group in self.room.racks(demand).values() for c in group]
+
     def _place_spread(self, demand: Demand, pool: list[Candidate]) -> bool:
         if self._start_in(demand, pool):
             return True
@@ -126,7 +129,7 @@
 
     def _place_tasks(self, demand: Demand) -> bool:
         """Starts what fits; tells whether the rest has room or will have."""
-        pool = [c for g in self.room.racks(demand).values() for c in g]
+        pool = self._pool(demand)
         if demand.data_rack and not self._is_pressed(demand):
             near = [c for c in pool if demand.data_rack in c.labels]
             pool = near or pool
@@ -163,13 +166,9 @@
 
     def _groups(self, demand: Demand) -> list[list[Candidate]]:
         """Returns sets of workers to try, best first."""
-        racks = self.room.racks(demand)
-        if not demand.same_rack and not demand.data_rack:
-            return [[c for group in racks.values() for c in group]]
         if not demand.same_rack:
-            near = [c for g in racks.values() for c in g if _is_near(c, demand)]
-            return [near] if near else []
-        groups = list(racks.values())
+            return [[c for c in self._pool(demand) if _is_near(c, demand)]]
+        groups = list(self.room.racks(demand).values())
         groups.sort(key=lambda g: self._group_key(demand, g))
         if demand.data_rack and not self._is_pressed(demand):
             groups = [g for g in groups if _is_near(g[0], demand)] or groups
@@ -237,8 +236,9 @@
     ) -> bool:
         """Stops the cheapest victims in the best of the groups."""
         wanted = len(demand.indexes) if count is None else count
+        emptiest_first = sorted(groups, key=self._free_soon, reverse=True)
         options: list[tuple[float, int, list[_preemption.Victim]]] = []
-        for position, group in enumerate(groups):
+        for position, group in enumerate(emptiest_first):
             if len(options) == GROUPS_COMPARED:
                 break
             chosen = self._search(demand, group, wanted)
@@ -259,7 +259,7 @@
                 self.room.coming[worker] = total
         placed = _packing.pack(
             demand,
-            groups[position],
+            emptiest_first[position],
             room=self.room,
             slots=self._coming_slots(demand),
             count=wanted,
@@ -267,6 +267,15 @@
         self.room.take(demand, placed or ())
         return True
 
+    def _free_soon(self, group: list[Candidate]) -> int:
+        """Returns accelerators that are free or becoming free in a group."""
+        total = 0
+        for candidate in group:
+            total += self.room.free[candidate.worker].accelerators
+            coming = self.room.coming.get(candidate.worker)
+            total += coming.accelerators if coming else 0
+        return total
+
     def _search(
         self, demand: Demand, group: list[Candidate], count: int
     ) -> list[_preemption.Victim] | None:
@@ -307,15 +316,11 @@
     def _may_spread(
         self, demand: Demand, groups: list[list[Candidate]]
     ) -> bool:
-        if len(groups) < 2:
-            return False
+        """Tells whether a gang may run off its rack, where it runs longer."""
         if self._is_pressed(demand):
             return True
         count = len(demand.indexes)
-        return not any(
-            sum(c.capacity.count_of(demand.resources) for c in g) >= count
-            for g in groups
-        )
+        return not any(_could_hold(g, demand) >= count for g in groups)
 
     def _reserve(self, demand: Demand) -> None:
         """Keeps the group free that can hold a waiting gang first."""
@@ -350,5 +355,16 @@
         return None
 
 
+def _could_hold(group: list[Candidate], demand: Demand) -> int:
+    """Returns how many tasks fit into a group that runs nothing."""
+    total = 0
+    for candidate in group:
+        count = candidate.capacity.count_of(demand.resources)
+        if demand.max_per_worker:
+            count = min(count, demand.max_per_worker)
+        total += count
+    return total
+
+
 def _is_near(candidate: Candidate, demand: Demand) -> bool:
     return not demand.data_rack or demand.data_rack in candidate.labels
--- a/magnoliaglade/placement/tests/test_planner.py
+++ b/magnoliaglade/placement/tests/test_planner.py
@@ -58,6 +58,36 @@
         assert set(patterns.workers_of(plan, "s")) == {"w00"}
 
 
+class TestDataRack:
+    def test_a_gang_too_large_for_the_rack_runs_elsewhere(self):
+        # Guards against a gang that waits for ever for a rack that can never
+        # hold it.
+        gang = patterns.demand("gang", 6, 8, data_rack="r0")
+        plan = plan_of(patterns.racks(2), demands=[gang])
+        assert len(patterns.workers_of(plan, "gang")) == 6
+
+    def test_a_gang_whose_rack_is_gone_runs_elsewhere(self):
+        # Load pattern: a zone is removed, and with it the rack of the data.
+        gone = [patterns.candidate("w00", rack="r0", is_open=False)]
+        gang = patterns.demand("gang", 2, 8, data_rack="r0")
+        plan = plan_of([*gone, *patterns.racks(2)[4:]], demands=[gang])
+        assert len(patterns.workers_of(plan, "gang")) == 2
+
+    def test_a_gang_waits_for_its_rack_while_it_can_be_on_time(self):
+        busy = [patterns.use("u", "w00", 8)]
+        gang = patterns.demand("gang", 4, 8, data_rack="r0")
+        plan = plan_of(patterns.racks(2), uses=busy, demands=[gang])
+        assert plan.starts == ()
+
+    def test_a_late_gang_leaves_its_rack(self):
+        busy = [patterns.use("u", "w00", 8)]
+        late = patterns.demand(
+            "gang", 4, 8, data_rack="r0", latest_start_s=patterns.NOW_S - 1
+        )
+        plan = plan_of(patterns.racks(2), uses=busy, demands=[late])
+        assert len(patterns.workers_of(plan, "gang")) == 4
+
+
 class TestReservations:
     def test_small_work_does_not_starve_a_large_gang(self):
         # Load pattern: a large gang waits for two of four workers while small
@@ -135,6 +165,21 @@
         )
         assert plan.starts == ()
 
+    def test_the_rack_that_needs_least_stopped_is_cleared(self):
+        # Guards against clearing the fullest of many racks when another one
+        # has most of the room already.
+        pool = patterns.racks(6)
+        uses = [
+            patterns.use(f"u{c.worker}", c.worker, 8, loss_s=2.0)
+            for c in pool
+            if c.worker not in ("w50", "w51", "w52")
+        ]
+        urgent = patterns.demand(
+            "urgent", 4, 8, same_rack=True, is_guaranteed=True, priority=0
+        )
+        plan = plan_of(pool, uses=uses, demands=[urgent])
+        assert patterns.victims_of(plan) == {"uw53"}
+
     def test_protected_work_is_never_stopped(self):
         busy = [patterns.use("p", "w00", 8, priority=0, is_protected=True)]
         plan = plan_of(
