--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -96,7 +96,6 @@
                 is_protected=False,
                 is_stopping=False,
                 is_gang=is_gang,
-                is_checkpointable=False,
                 loss_s=rng.uniform(0.0, 9.0),
                 ends_at_s=_NOW_S + rng.uniform(0.1, 9.0),
             )
@@ -118,7 +117,6 @@
             cores_m=cores_m, memory_mb=memory_mb, accelerators=size
         ),
         is_gang=priority < 2,
-        is_checkpointable=False,
         same_rack=priority < 2 and rng.random() < 0.6,
         data_rack="",
         label="",
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -118,7 +118,6 @@
                 is_stopping=attempt.state is AttemptState.STOPPING
                 or progress.state.is_final,
                 is_gang=spec.is_gang,
-                is_checkpointable=spec.is_checkpointable,
                 loss_s=self._loss_s(spec, elapsed_s),
                 ends_at_s=wall_s
                 + _remaining_s(spec, elapsed_s, attempt.percent),
@@ -157,7 +156,6 @@
             indexes=indexes,
             resources=spec.demand,
             is_gang=spec.is_gang,
-            is_checkpointable=spec.is_checkpointable,
             same_rack=spec.same_rack,
             data_rack=spec.data_rack,
             label=spec.label,
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -63,7 +63,6 @@
         is_protected: it runs within a guarantee and is never preempted.
         is_stopping: its capacity becomes free shortly.
         is_gang: stopping it breaks all runs of the unit.
-        is_checkpointable: a stop saves its work.
         loss_s: work in seconds that a stop now would throw away.
         ends_at_s: when it is expected to end.
     """
@@ -77,7 +76,6 @@
     is_protected: bool
     is_stopping: bool
     is_gang: bool
-    is_checkpointable: bool
     loss_s: float
     ends_at_s: float
 
@@ -92,7 +90,6 @@
         indexes: the waiting tasks; a gang is placed whole or not at all.
         resources: capacity of each task.
         is_gang: the tasks are placed together.
-        is_checkpointable: a stop saves the tasks' work.
         same_rack: they run far slower on several racks.
         data_rack: they run far slower off this rack; "" for none.
         label: label that the worker must have, or "".
@@ -112,7 +109,6 @@
     indexes: tuple[int, ...]
     resources: Resources
     is_gang: bool
-    is_checkpointable: bool
     same_rack: bool
     data_rack: str
     label: str
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -1,9 +1,7 @@
 """Packs the tasks of one demand onto workers that have room.
 
 Answers fragmentation: tasks go where they leave the least accelerators over,
-so that whole workers and racks stay free for large gangs. Answers bursts of
-urgent work: tasks that a stop costs nothing share workers, so that whole
-workers can be cleared without throwing work away.
+so that whole workers and racks stay free for large gangs.
 """
 
 from collections.abc import Callable, Sequence
@@ -59,14 +57,13 @@
 
 def _preference(
     candidate: Candidate, demand: Demand, room: Room
-) -> tuple[float, bool, bool, int, int, str]:
+) -> tuple[float, bool, int, int, str]:
     free = room.free[candidate.worker]
     need = demand.resources.accelerators
     left_over = free.accelerators % need if need else 0
     return (
         candidate.suspicion,
         bool(demand.data_rack) and demand.data_rack not in candidate.labels,
-        demand.priority > 0 and room.is_mixed_by(demand, candidate.worker),
         left_over,
         free.accelerators,
         candidate.worker,
--- a/magnoliaglade/placement/_room.py
+++ b/magnoliaglade/placement/_room.py
@@ -33,7 +33,6 @@
         self.coming: dict[WorkerId, Resources] = {}
         self.blocked_until_s: dict[WorkerId, float] = {}
         self.uses: dict[WorkerId, list[Use]] = {}
-        self._kinds: dict[WorkerId, set[bool]] = {}
         self._eligible: dict[
             tuple[ServiceName, str, frozenset[WorkerId]],
             dict[RackId, list[Candidate]],
@@ -87,17 +86,11 @@
             count = min(count, demand.max_per_worker - used)
         return max(0, count)
 
-    def is_mixed_by(self, demand: Demand, worker: WorkerId) -> bool:
-        """Tells whether a worker has runs that cost more, or less, to stop."""
-        kinds = self._kinds.get(worker, frozenset())
-        return (not demand.is_checkpointable) in kinds
-
     def take(self, demand: Demand, workers: Iterable[WorkerId]) -> None:
         """Marks capacity as used by one task on each worker given."""
         for worker in workers:
             self.free[worker] -= demand.resources
             self._placed[demand.unit, worker] += 1
-            self._note_kind(worker, demand)
 
     def block(self, workers: Iterable[WorkerId], *, until_s: float) -> None:
         """Keeps workers free of tasks that would end after `until_s`."""
@@ -111,18 +104,12 @@
             return False
         return self.snapshot.now_s + demand.estimate_s > until_s
 
-    def _note_kind(self, worker: WorkerId, work: Demand | Use) -> None:
-        # Urgent work is not stopped for other work.
-        if work.priority > 0:
-            self._kinds.setdefault(worker, set()).add(work.is_checkpointable)
-
     def _add_use(self, use: Use) -> None:
         if use.worker not in self.free:
             return
         self.free[use.worker] -= use.demand
         self.uses.setdefault(use.worker, []).append(use)
         self._placed[use.unit, use.worker] += 1
-        self._note_kind(use.worker, use)
         if use.is_stopping:
             coming = self.coming.get(use.worker, _NOTHING)
             self.coming[use.worker] = coming + use.demand
--- a/magnoliaglade/placement/tests/patterns.py
+++ b/magnoliaglade/placement/tests/patterns.py
@@ -54,7 +54,6 @@
         "indexes": tuple(range(count)),
         "resources": resources(accelerators),
         "is_gang": True,
-        "is_checkpointable": False,
         "same_rack": False,
         "data_rack": "",
         "label": "",
@@ -82,7 +81,6 @@
         "is_protected": False,
         "is_stopping": False,
         "is_gang": False,
-        "is_checkpointable": False,
         "loss_s": 4.0,
         "ends_at_s": NOW_S + 5.0,
     }
--- a/magnoliaglade/placement/tests/test_planner.py
+++ b/magnoliaglade/placement/tests/test_planner.py
@@ -58,38 +58,6 @@
         assert set(patterns.workers_of(plan, "s")) == {"w00"}
 
 
-class TestCheckpointable:
-    # Load pattern: a burst of urgent work on a pool full of batch tasks, of
-    # which half save their work. Spread over all workers, every cleared worker
-    # throws work away.
-
-    def test_work_that_saves_shares_workers(self):
-        uses = [
-            patterns.use("costly", "w00", 4),
-            patterns.use("saving", "w01", 2, is_checkpointable=True),
-        ]
-        batch = {"is_gang": False, "priority": 2}
-        plan = plan_of(
-            patterns.racks(1),
-            uses=uses,
-            demands=[
-                patterns.demand("s", 2, 1, is_checkpointable=True, **batch),
-                patterns.demand("c", 2, 1, **batch),
-            ],
-        )
-        assert set(patterns.workers_of(plan, "s")) == {"w01"}
-        assert set(patterns.workers_of(plan, "c")) == {"w00"}
-
-    def test_urgent_work_goes_where_it_fits_best(self):
-        uses = [patterns.use("saving", "w01", 4, is_checkpointable=True)]
-        plan = plan_of(
-            patterns.racks(1),
-            uses=uses,
-            demands=[patterns.demand("urgent", 1, 4, priority=0)],
-        )
-        assert patterns.workers_of(plan, "urgent") == ["w01"]
-
-
 class TestDataRack:
     def test_a_gang_too_large_for_the_rack_runs_elsewhere(self):
         # Guards against a gang that waits for ever for a rack that can never
