Of equal workers use the one in the fullest rack

Cause: workers with equal free room were taken in the order of their ids, which are random, so small tasks opened a worker in every rack and gangs that need one rack found none. Change: the free accelerators of the rack break the tie.

--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -4,11 +4,12 @@
 so that whole workers and racks stay free for large gangs.
 """
 
+import collections
 from collections.abc import Callable, Sequence
 
 from magnoliaglade.placement._model import Candidate, Demand
 from magnoliaglade.placement._room import Room
-from magnoliaglade.types import WorkerId
+from magnoliaglade.types import RackId, WorkerId
 
 Slots = Callable[[WorkerId], int]
 
@@ -45,7 +46,10 @@
     """Returns workers for as many of `count` tasks as fit."""
     fitting = {c.worker: slots(c.worker) for c in candidates}
     usable = [c for c in candidates if fitting[c.worker]]
-    usable.sort(key=lambda c: _preference(c, demand, room))
+    in_rack = _free_by_rack(candidates, room)
+    usable.sort(
+        key=lambda c: (_preference(c, demand, room), in_rack[c.rack], c.worker)
+    )
     chosen: list[WorkerId] = []
     for candidate in usable:
         taken = min(fitting[candidate.worker], count - len(chosen))
@@ -57,7 +61,7 @@
 
 def _preference(
     candidate: Candidate, demand: Demand, room: Room
-) -> tuple[float, bool, int, int, str]:
+) -> tuple[float, bool, int, int]:
     free = room.free[candidate.worker]
     need = demand.resources.accelerators
     left_over = free.accelerators % need if need else 0
@@ -66,5 +70,18 @@
         bool(demand.data_rack) and demand.data_rack not in candidate.labels,
         left_over,
         free.accelerators,
-        candidate.worker,
     )
+
+
+def _free_by_rack(
+    candidates: Sequence[Candidate], room: Room
+) -> collections.Counter[RackId]:
+    """Returns the free accelerators of each rack.
+
+    Of equal workers the one in the fullest rack is used, so that other racks
+    stay free for gangs that need one for themselves.
+    """
+    found: collections.Counter[RackId] = collections.Counter()
+    for candidate in candidates:
+        found[candidate.rack] += room.free[candidate.worker].accelerators
+    return found
--- a/magnoliaglade/placement/tests/test_planner.py
+++ b/magnoliaglade/placement/tests/test_planner.py
@@ -50,6 +50,17 @@
         )
         assert set(patterns.workers_of(plan, "small")) == {"w12", "w13"}
 
+    def test_small_tasks_leave_whole_racks_free(self):
+        # Guards against tasks that open a worker in every rack, after which no
+        # rack can hold a large gang.
+        busy = [patterns.use(f"u{i}", f"w1{i}", 8) for i in range(2)]
+        plan = plan_of(
+            patterns.racks(2),
+            uses=busy,
+            demands=[patterns.demand("s", 9, 1, is_gang=False, priority=2)],
+        )
+        assert set(patterns.workers_of(plan, "s")) == {"w12", "w13"}
+
     def test_small_tasks_leave_whole_workers_free(self):
         busy = [patterns.use("u", "w00", 4)]
         plan = plan_of(
