Answer callers within their time limit while the store is silent

Cause: the gateway tried a store call again while the caller's time was not yet over, and that call could outlast it by its whole timeout of 0.7 s. Ruled out: refusals (503) during the outage; they were repeated and served. Change: each call waits for the store at most until the caller's limit.

--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -6,7 +6,8 @@
 
 import dataclasses
 import enum
-from typing import Any
+from collections.abc import Awaitable
+from typing import Any, TypeVar
 
 import msgpack
 
@@ -16,6 +17,8 @@
 from magnoliaglade.routing import ConfigurationFollower, Queue
 from magnoliaglade.types import AccountId, JobId
 
+_T = TypeVar("_T")
+
 # A configuration that has not been confirmed for this share of the time that
 # a revoked key may live is too old to serve calls with keys.
 FRESH_SHARE = 0.8
@@ -132,11 +135,12 @@
             accepted_at_s=self.clock.time(),
             spec=spec,
         )
+        deadline_s = self.clock.now() + limit_s
         verdict = await self._create(
-            keys.job_key(job), jobs.encode_job(record), limit_s
+            keys.job_key(job), jobs.encode_job(record), deadline_s
         )
         if verdict is Verdict.CONFLICTING:
-            verdict = await self._compare(record)
+            verdict = await self._compare(record, deadline_s)
         observability.log_event(
             "submission",
             job=job,
@@ -159,7 +163,7 @@
         if entry is None or not _belongs(entry, account):
             return Verdict.ABSENT
         verdict = await self._create(
-            keys.cancellation_key(job), b"", deadline_s - self.clock.now()
+            keys.cancellation_key(job), b"", deadline_s
         )
         if verdict is Verdict.CONFLICTING:
             verdict = Verdict.ACCEPTED
@@ -202,15 +206,19 @@
         """Returns whether calls are served."""
         return {"is_fresh": self.is_fresh}
 
-    async def _create(self, key: str, value: bytes, limit_s: float) -> Verdict:
+    async def _create(
+        self, key: str, value: bytes, deadline_s: float
+    ) -> Verdict:
         """Creates a key; CONFLICTING if it exists."""
-        began_s = self.clock.now()
+        refused_by_s = self.clock.now() + REFUSED_TRIES_S
         is_maybe_stored = False
         while True:
             if not is_maybe_stored and self.store.outage_s > 0.0:
                 return Verdict.REFUSED
             try:
-                await self.store.put(key, value, expected=0)
+                await self._answer_to(
+                    self.store.put(key, value, expected=0), deadline_s
+                )
             except store.ConflictError:
                 # The conflict may be with an earlier try of this call.
                 return Verdict.CONFLICTING
@@ -221,13 +229,23 @@
                 is_maybe_stored = True
             else:
                 return Verdict.ACCEPTED
-            allowed_s = (
-                limit_s if is_maybe_stored else min(limit_s, REFUSED_TRIES_S)
-            )
-            if self.clock.now() + RETRY_S - began_s >= allowed_s:
+            last_s = deadline_s
+            if not is_maybe_stored:
+                last_s = min(deadline_s, refused_by_s)
+            if self.clock.now() + RETRY_S >= last_s:
                 return self._give_up(key, reason, is_maybe_stored)
             await self.clock.sleep(RETRY_S)
 
+    async def _answer_to(self, call: Awaitable[_T], deadline_s: float) -> _T:
+        """Returns the store's answer, if it comes by the deadline."""
+        remaining_s = max(0.0, deadline_s - self.clock.now())
+        try:
+            return await self.clock.wait_for(call, remaining_s)
+        except TimeoutError as error:
+            raise store.StoreUnknownError(
+                "no answer within the caller's time limit"
+            ) from error
+
     def _give_up(self, key: str, reason: str, is_maybe_stored: bool) -> Verdict:
         verdict = Verdict.UNKNOWN if is_maybe_stored else Verdict.REFUSED
         observability.log_event(
@@ -239,10 +257,12 @@
         )
         return verdict
 
-    async def _compare(self, record: jobs.Job) -> Verdict:
+    async def _compare(self, record: jobs.Job, deadline_s: float) -> Verdict:
         """Tells whether the stored job is the one that is submitted."""
         try:
-            entry = await self.store.get(keys.job_key(record.job))
+            entry = await self._answer_to(
+                self.store.get(keys.job_key(record.job)), deadline_s
+            )
         except store.StoreError:
             return Verdict.UNKNOWN
         if entry is None:
@@ -257,7 +277,8 @@
         """Returns the entry, and whether the store has answered."""
         while True:
             try:
-                return await self.store.get(key), True
+                call = self.store.get(key)
+                return await self._answer_to(call, deadline_s), True
             except store.StoreError as error:
                 is_over = self.clock.now() + RETRY_S >= deadline_s
                 if is_over or self.store.outage_s > 0.0:
--- a/magnoliaglade/gateway/tests/test_gateway.py
+++ b/magnoliaglade/gateway/tests/test_gateway.py
@@ -74,6 +74,38 @@
     return Front()
 
 
+class TestTimeLimit:
+    # Load pattern: the store falls silent while callers wait. A call of the
+    # store that outlasts the caller's time limit leaves the caller without an
+    # answer, and it does not know that it may repeat the submission.
+
+    async def test_a_submission_is_answered_in_time(self, front):
+        front.faulty.delay_s = 1.0
+        front.faulty.lost_answers = 10
+        verdict, took_s = await front.submit()
+        assert verdict is Verdict.UNKNOWN
+        assert took_s <= 2.4 + 0.1
+
+    async def test_a_state_is_answered_in_time(self, front):
+        await front.submit()
+        front.faulty.delay_s = 5.0
+        answer, took_s = await front.run(
+            front.gateway.state(job=JOB, account=ACCOUNT, limit_s=2.4)
+        )
+        assert answer.verdict is Verdict.REFUSED
+        assert took_s <= 2.4 + 0.1
+
+    async def test_a_cancellation_is_answered_in_time(self, front):
+        await front.submit()
+        front.faulty.delay_s = 1.0
+        front.faulty.lost_answers = 10
+        verdict, took_s = await front.run(
+            front.gateway.cancel(job=JOB, account=ACCOUNT, limit_s=2.4)
+        )
+        assert verdict is Verdict.UNKNOWN
+        assert took_s <= 2.4 + 0.1
+
+
 class TestSubmission:
     async def test_an_accepted_job_is_stored(self, front):
         verdict, _ = await front.submit()
