Show states from the coordinator's memory while the store is out

Cause: states are read from the store. During an outage the coordinator still collects the ends of runs, but callers got 503, so jobs that ended meanwhile were late or unserved. Ruled out: waiting for room; placement lines show waited_s below 0.1. A job that was shown as completed in this way is noted under its intake key once the store answers, so that no successor starts it again even if worker and coordinator are gone. Weighed: showing only what is stored (as before), and replicating ends among the instances, which would be a replicated store of the project's own. Tests: TestOutage in the gateway, takeover with the note, and the route over real sockets.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -203,6 +203,15 @@
         )
         self._lost.set()
 
+    def summary(self, job: JobId) -> jobs.JobSummary | None:
+        """Returns what is known of a job, also before it is stored."""
+        progress = self.table.jobs.get(job)
+        if progress is None:
+            return None
+        return jobs.JobSummary(
+            state=progress.state, account=progress.job.account
+        )
+
     def dump(self) -> dict[str, Any]:
         """Returns jobs and workers in figures."""
         return {
@@ -252,20 +261,20 @@
 
     def handle_intake(self, changed: Iterable[str]) -> None:
         """Applies new submissions and cancellations."""
-        cancelled: list[JobId] = []
+        ended: list[tuple[JobId, keys.IntakeKind]] = []
         for key in sorted(changed):
             entry = self._intake.entries.get(key)
-            job, is_cancellation = keys.job_of(key)
+            job, kind = keys.parse_intake_key(key)
             if entry is None:
                 continue
-            if is_cancellation:
-                cancelled.append(job)
+            if kind is not keys.IntakeKind.JOB:
+                ended.append((job, kind))
             elif job not in self.table.jobs:
                 self._add_job(entry)
-        for job in cancelled:
+        for job, kind in ended:
             progress = self.table.jobs.get(job)
             if progress is not None:
-                self._cancel(progress)
+                self._end_job(progress, kind)
         self._plans.wake.set()
 
     def _add_job(self, entry: store.Entry) -> None:
@@ -292,8 +301,10 @@
             self._housekeeping.note_end(job.job)
             self._stop_all(progress)
 
-    def _cancel(self, progress: JobProgress) -> None:
-        if progress.cancel():
+    def _end_job(self, progress: JobProgress, kind: keys.IntakeKind) -> None:
+        is_completion = kind is keys.IntakeKind.COMPLETION
+        has_changed = progress.complete if is_completion else progress.cancel
+        if has_changed():
             self._finish(progress)
             self._write(progress)
             self._stop_all(progress)
--- a/magnoliaglade/coordinator/_election.py
+++ b/magnoliaglade/coordinator/_election.py
@@ -53,6 +53,7 @@
         term: runs the coordinator for an epoch until it is cancelled, or
             returns when it has lost its place.
         random: source of the spread.
+        address: `host:port` at which other instances reach this one.
         ttl_s: life of the lease without renewal.
         renew_s: interval of renewals.
         handicap_s: seconds for which the place is left to other instances.
@@ -73,6 +74,7 @@
         incarnation: str,
         term: Term,
         random: random.Random,
+        address: str = "",
         ttl_s: float = LEASE_TTL_S,
         renew_s: float = RENEW_S,
         handicap_s: float = 0.0,
@@ -83,6 +85,7 @@
         self.incarnation = incarnation
         self.term = term
         self.random = random
+        self.address = address
         self.ttl_s = ttl_s
         self.renew_s = renew_s
         self.handicap_s = handicap_s
@@ -97,6 +100,14 @@
             wait_s=WATCH_S,
         )
 
+    @property
+    def coordinator_address(self) -> str:
+        """Address of the coordinator as last seen; "" if there is none."""
+        entry = self._watcher.entries.get(keys.COORDINATOR_KEY)
+        if entry is None:
+            return ""
+        return entry.value.decode(errors="replace").rpartition("/")[2]
+
     @property
     def unconfirmed_s(self) -> float:
         """Seconds since the store last confirmed this coordinator."""
@@ -144,7 +155,8 @@
         """Creates the key; returns None if another instance was first."""
         sent_s = self.clock.now()
         self._lease = await self.store.grant_lease(self.ttl_s)
-        value = f"{self.instance}/{self.incarnation}/{self._lease}".encode()
+        owner = f"{self.instance}/{self.incarnation}/{self._lease}"
+        value = f"{owner}/{self.address}".encode()
         try:
             revision = await self.store.put(
                 keys.COORDINATOR_KEY, value, expected=0, lease=self._lease
--- a/magnoliaglade/coordinator/_housekeeping.py
+++ b/magnoliaglade/coordinator/_housekeeping.py
@@ -79,6 +79,7 @@
         try:
             await self.store.delete(keys.job_key(job))
             await self.store.delete(keys.cancellation_key(job))
+            await self.store.delete(keys.completion_key(job))
         except store.StoreError as error:
             observability.log_event(
                 "job", state="not removed", job=job, reason=str(error)
--- a/magnoliaglade/coordinator/tests/test_coordinator.py
+++ b/magnoliaglade/coordinator/tests/test_coordinator.py
@@ -3,7 +3,7 @@
 import pytest
 
 from magnoliaglade.coordinator.tests import harness
-from magnoliaglade.jobs import JobState
+from magnoliaglade.jobs import JobState, keys
 
 
 @pytest.fixture
@@ -114,6 +114,26 @@
         assert len(deployment.starts(job)) == 3
         assert await deployment.state(job) is JobState.COMPLETED
 
+    async def test_a_job_that_was_shown_as_completed_stays_so(self, deployment):
+        # Guards against a second run after an end that was shown during an
+        # outage of the store, when coordinator and worker are gone since.
+        first = await deployment.elect(deployment.faulty_store())
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        worker = deployment.where(f"{job}.0.0.0")[0]
+        first.store.is_down = True
+        await deployment.clock.advance(6.0)
+        assert first.summary(job).state is JobState.COMPLETED
+        assert await deployment.state(job) is JobState.RUNNING
+        await deployment.kill(first)
+        deployment.unlisted.add(worker)
+        del deployment.engines[worker]
+        await deployment.store.put(keys.completion_key(job), b"", expected=0)
+        await deployment.elect()
+        await deployment.clock.advance(30.0)
+        assert await deployment.state(job) is JobState.COMPLETED
+        assert deployment.starts(job) == []
+
     async def test_a_planned_start_that_was_not_sent_is_made_again(
         self, deployment
     ):
--- a/magnoliaglade/coordinator/tests/test_planning.py
+++ b/magnoliaglade/coordinator/tests/test_planning.py
@@ -62,28 +62,25 @@
     )
 
 
+async def count_plans(seconds):
+    """Returns how many plans are made in a time on the clock."""
+    clock = SlowClock()
+    planner = SlowPlanner(clock)
+    runner = make_runner(clock, planner)
+    task = asyncio.ensure_future(runner.run())
+    runner.wake.set()
+    await clock.advance(seconds)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return planner.plans
+
+
 class TestPace:
     async def test_slow_plans_leave_half_of_the_loop(self):
         # Guards against a coordinator that plans without a pause under load
         # and loses its lease because no renewal gets its turn.
-        clock = SlowClock()
-        planner = SlowPlanner(clock)
-        runner = make_runner(clock, planner)
-        task = asyncio.ensure_future(runner.run())
-        runner.wake.set()
-        await clock.advance(5.0)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
         # Each pause of half a second is waited for on the clock itself.
-        assert 5 <= planner.plans <= 5.0 / PLAN_TAKES_S + 1
+        assert 5 <= await count_plans(5.0) <= 5.0 / PLAN_TAKES_S + 1
 
     async def test_an_incomplete_plan_is_followed_by_another(self):
-        clock = SlowClock()
-        planner = SlowPlanner(clock)
-        runner = make_runner(clock, planner)
-        task = asyncio.ensure_future(runner.run())
-        runner.wake.set()
-        await clock.advance(PLAN_TAKES_S + 0.1)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        assert planner.plans == 2
+        assert await count_plans(PLAN_TAKES_S + 0.1) == 2
--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
 import msgpack
@@ -32,6 +32,11 @@
 # goes on for about as long again.
 FIRST_RETURN_S = 1
 LAST_RETURN_S = 3
+# Part of a caller's time limit that is kept for asking the coordinator, in
+# seconds, if the store does not answer.
+ASK_S = 0.4
+# Pause between tries to store which jobs were shown as completed.
+CONFIRM_S = 0.5
 # Published counts of waiting jobs are kept this long.
 COUNTS_KEPT_S = 0.5
 
@@ -66,6 +71,13 @@
     waiting: int = 0
 
 
+AskCoordinator = Callable[[JobId], Awaitable[jobs.JobSummary | None]]
+
+
+async def _ask_nobody(_: JobId) -> jobs.JobSummary | None:
+    return None
+
+
 class Gateway(base.Parameterized):
     """Submits, cancels and looks up jobs.
 
@@ -74,6 +86,8 @@
         clock: source of time.
         follower: the configuration in force.
         revoke_s: seconds that a revoked key may still be served.
+        ask_coordinator: returns what the coordinator knows of a job; used
+            while the store does not answer.
     """
 
     _parameter_constraints = {
@@ -87,11 +101,14 @@
         clock: clock_lib.Clock,
         follower: ConfigurationFollower,
         revoke_s: float,
+        ask_coordinator: AskCoordinator = _ask_nobody,
     ) -> None:
         self.store = store
         self.clock = clock
         self.follower = follower
         self.revoke_s = revoke_s
+        self.ask_coordinator = ask_coordinator
+        self._unconfirmed: dict[JobId, None] = {}
         self._counts: tuple[float, dict[str, int]] = (float("-inf"), {})
 
     @property
@@ -174,16 +191,16 @@
         self, *, job: JobId, account: AccountId | None, limit_s: float
     ) -> StateAnswer:
         """Returns the state of a job."""
-        deadline_s = self.clock.now() + limit_s
+        deadline_s = self.clock.now() + max(limit_s - ASK_S, limit_s / 2)
         entry, is_known = await self._read(keys.progress_key(job), deadline_s)
         if not is_known:
-            return StateAnswer(verdict=Verdict.REFUSED)
+            return await self._ask_state(job, account)
         if entry is not None:
             state = jobs.decode_state(entry.value)
             return StateAnswer(verdict=Verdict.ACCEPTED, state=state)
         entry, is_known = await self._read(keys.job_key(job), deadline_s)
         if not is_known:
-            return StateAnswer(verdict=Verdict.REFUSED)
+            return await self._ask_state(job, account)
         if entry is None or not _belongs(entry, account):
             return StateAnswer(verdict=Verdict.ABSENT)
         return StateAnswer(verdict=Verdict.ACCEPTED, state=jobs.JobState.QUEUED)
@@ -202,9 +219,61 @@
             verdict=Verdict.ACCEPTED, waiting=counts.get(queue.name, 0)
         )
 
+    async def confirm_completions(self) -> None:
+        """Stores which jobs were shown as completed, until cancelled.
+
+        A coordinator that takes over then never starts them again, even if
+        their worker is gone together with the former coordinator.
+        """
+        while True:
+            await self.clock.sleep(CONFIRM_S)
+            for job in list(self._unconfirmed):
+                try:
+                    await self._confirm(job)
+                except store.StoreError as error:
+                    observability.log_event(
+                        "completion",
+                        outcome="not stored",
+                        job=job,
+                        reason=str(error),
+                    )
+                    break
+                del self._unconfirmed[job]
+
     def dump(self) -> dict[str, Any]:
-        """Returns whether calls are served."""
-        return {"is_fresh": self.is_fresh}
+        """Returns whether calls are served, and what is to be stored."""
+        return {
+            "is_fresh": self.is_fresh,
+            "unconfirmed_completions": len(self._unconfirmed),
+        }
+
+    async def _ask_state(
+        self, job: JobId, account: AccountId | None
+    ) -> StateAnswer:
+        """Answers from the coordinator's memory."""
+        summary = await self.ask_coordinator(job)
+        if summary is None or account not in (None, summary.account):
+            return StateAnswer(verdict=Verdict.REFUSED)
+        if summary.state is jobs.JobState.COMPLETED:
+            self._unconfirmed[job] = None
+        observability.log_event(
+            "state",
+            outcome="from the coordinator",
+            job=job,
+            state=summary.state.value,
+            outage_s=round(self.store.outage_s, 3),
+        )
+        return StateAnswer(verdict=Verdict.ACCEPTED, state=summary.state)
+
+    async def _confirm(self, job: JobId) -> None:
+        entry = await self.store.get(keys.progress_key(job))
+        if entry is not None and jobs.decode_state(entry.value).is_final:
+            return
+        try:
+            await self.store.put(keys.completion_key(job), b"", expected=0)
+        except store.ConflictError:
+            # Another instance was first.
+            return
 
     async def _create(
         self, key: str, value: bytes, deadline_s: float
--- a/magnoliaglade/gateway/tests/test_gateway.py
+++ b/magnoliaglade/gateway/tests/test_gateway.py
@@ -106,6 +106,64 @@
         assert took_s <= 2.4 + 0.1
 
 
+class TestOutage:
+    # Load pattern: the store is down for seconds, and jobs end meanwhile. A
+    # caller that learns of the end only afterwards has its result late.
+
+    async def ask(self, front, state, *, account=ACCOUNT):
+        async def summary(job):
+            assert job == JOB
+            return jobs.JobSummary(state=state, account=ACCOUNT)
+
+        front.gateway.ask_coordinator = summary
+        return await front.run(
+            front.gateway.state(job=JOB, account=account, limit_s=2.4)
+        )
+
+    async def test_an_end_is_shown_from_the_coordinator(self, front):
+        await front.submit()
+        front.faulty.is_down = True
+        answer, _ = await self.ask(front, jobs.JobState.COMPLETED)
+        assert answer.state is jobs.JobState.COMPLETED
+
+    async def test_a_silent_store_leaves_time_to_ask(self, front):
+        await front.submit()
+        front.faulty.delay_s = 60.0
+        answer, took_s = await self.ask(front, jobs.JobState.RUNNING)
+        assert answer.state is jobs.JobState.RUNNING
+        assert took_s <= 2.4
+
+    async def test_other_accounts_learn_nothing(self, front):
+        front.faulty.is_down = True
+        other = AccountId("other")
+        answer, _ = await self.ask(
+            front, jobs.JobState.COMPLETED, account=other
+        )
+        assert answer.verdict is Verdict.REFUSED
+
+    async def test_what_was_shown_is_stored_afterwards(self, front):
+        # Guards against a successor that runs a job again whose end was shown
+        # and never stored.
+        await front.submit()
+        front.faulty.is_down = True
+        await self.ask(front, jobs.JobState.COMPLETED)
+        task = asyncio.ensure_future(front.gateway.confirm_completions())
+        await front.clock.advance(2.0)
+        key = keys.completion_key(JOB)
+        assert await front.memory.get(key) is None
+        front.faulty.is_down = False
+        await front.clock.advance(1.0)
+        assert await front.memory.get(key) is not None
+        assert front.gateway.dump()["unconfirmed_completions"] == 0
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def test_other_states_are_not_stored(self, front):
+        front.faulty.is_down = True
+        await self.ask(front, jobs.JobState.RUNNING)
+        assert front.gateway.dump()["unconfirmed_completions"] == 0
+
+
 class TestSubmission:
     async def test_an_accepted_job_is_stored(self, front):
         verdict, _ = await front.submit()
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -17,6 +17,7 @@
     coordinator,
     fleet,
     http,
+    jobs,
     observability,
     placement,
     platform,
@@ -29,7 +30,8 @@
     InstanceSettings,
     InstanceSettingsError,
 )
-from magnoliaglade.types import Epoch
+from magnoliaglade.instance._summaries import SummaryClient, make_route
+from magnoliaglade.types import Epoch, JobId
 
 # Time between SIGTERM and closing the listeners, in seconds: the platform
 # looks for readiness every second and needs two misses.
@@ -67,11 +69,15 @@
             prefix=platform.OPERATOR_PREFIX,
             decode=platform.decode_operator_state,
         )
+        self._summaries = SummaryClient(
+            address=lambda: self.election.coordinator_address
+        )
         self.gateway = Gateway(
             store=self.store,
             clock=clock,
             follower=self.follower,
             revoke_s=settings.bounds.revoke_s,
+            ask_coordinator=self._summaries.find,
         )
         self.election = coordinator.Election(
             store=self.store,
@@ -80,9 +86,11 @@
             incarnation=self.incarnation,
             term=self._serve_term,
             random=random.Random(),  # noqa: S311
+            address=str(settings.internal),
             handicap_s=coordinator.handicap_s(settings.cores),
         )
         self._servers = self._make_servers()
+        self._confirming: asyncio.Task[None] | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -104,6 +112,9 @@
         await self._client.start()
         await self.follower.start()
         await self.election.start()
+        self._confirming = asyncio.create_task(
+            self.gateway.confirm_completions()
+        )
         observability.log_event(
             "instance",
             state="started",
@@ -120,7 +131,11 @@
         await self.clock.sleep(min(DRAIN_S, grace_s))
         for server in self._servers:
             await server.stop()
+        if self._confirming is not None:
+            self._confirming.cancel()
+            await asyncio.gather(self._confirming, return_exceptions=True)
         await self.follower.stop()
+        await self._summaries.stop()
         await self._client.stop()
         observability.log_event("instance", state="stopped")
 
@@ -212,9 +227,16 @@
             return http.json_response(200, observability.to_plain(self.dump()))
 
         return http.new_application(
-            {("GET", "/metrics"): metrics, ("GET", "/state"): state}
+            {
+                ("GET", "/metrics"): metrics,
+                ("GET", "/state"): state,
+                **make_route(self._find_summary),
+            }
         )
 
+    def _find_summary(self, job: JobId) -> jobs.JobSummary | None:
+        return self._coordinator.summary(job) if self._coordinator else None
+
     def _refresh_metrics(self) -> None:
         current = self._coordinator
         self.metrics.store_calls.set(self.store.calls)
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator
 
 from magnoliaglade.jobs._model import Job, JobState, StepKey, StepSpec, TaskKey
-from magnoliaglade.types import Lifetime, WorkerId
+from magnoliaglade.types import AccountId, Lifetime, WorkerId
 
 
 class RunOutcome(enum.Enum):
@@ -103,6 +103,14 @@
                 yield index, task.attempt
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobSummary:
+    """State of a job and the client account that it belongs to."""
+
+    state: JobState
+    account: AccountId
+
+
 class JobProgress:
     """Mutable progress of one job, owned by the coordinator."""
 
@@ -232,6 +240,13 @@
         if not self.state.is_final and len(self.done_steps) == total:
             self.state = JobState.COMPLETED
 
+    def complete(self) -> bool:
+        """Ends the job as completed; returns False if it has ended already."""
+        if self.state.is_final:
+            return False
+        self.state = JobState.COMPLETED
+        return True
+
     def cancel(self) -> bool:
         """Cancels the job; returns False if it has ended already."""
         if self.state.is_final:
--- a/magnoliaglade/jobs/keys.py
+++ b/magnoliaglade/jobs/keys.py
@@ -4,6 +4,8 @@
 that the coordinator's watch is not woken by its own writes.
 """
 
+import enum
+
 from magnoliaglade.types import JobId
 
 INTAKE_PREFIX = "magnoliaglade/in/"
@@ -11,7 +13,13 @@
 COORDINATOR_KEY = "magnoliaglade/coordinator"
 COUNTS_KEY = "magnoliaglade/counts"
 
-_CANCELLATION_SUFFIX = "/cancel"
+
+class IntakeKind(enum.Enum):
+    """What a key under the intake prefix tells, with its suffix."""
+
+    JOB = ""
+    CANCELLATION = "/cancel"
+    COMPLETION = "/done"
 
 
 def job_key(job: JobId) -> str:
@@ -21,7 +29,12 @@
 
 def cancellation_key(job: JobId) -> str:
     """Returns the key that tells that a job is cancelled."""
-    return f"{INTAKE_PREFIX}{job}{_CANCELLATION_SUFFIX}"
+    return f"{INTAKE_PREFIX}{job}{IntakeKind.CANCELLATION.value}"
+
+
+def completion_key(job: JobId) -> str:
+    """Returns the key that tells that a job was shown as completed."""
+    return f"{INTAKE_PREFIX}{job}{IntakeKind.COMPLETION.value}"
 
 
 def progress_key(job: JobId) -> str:
@@ -29,8 +42,10 @@
     return f"{PROGRESS_PREFIX}{job}"
 
 
-def job_of(key: str) -> tuple[JobId, bool]:
-    """Returns the job of an intake key, and whether it is a cancellation."""
+def parse_intake_key(key: str) -> tuple[JobId, IntakeKind]:
+    """Returns the job of an intake key, and what the key tells."""
     name = key.removeprefix(INTAKE_PREFIX)
-    is_cancellation = name.endswith(_CANCELLATION_SUFFIX)
-    return JobId(name.removesuffix(_CANCELLATION_SUFFIX)), is_cancellation
+    for kind in (IntakeKind.CANCELLATION, IntakeKind.COMPLETION):
+        if name.endswith(kind.value):
+            return JobId(name.removesuffix(kind.value)), kind
+    return JobId(name), IntakeKind.JOB
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -5,12 +5,13 @@
 import pytest
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import http, platform
+from magnoliaglade import http, jobs, platform
 from magnoliaglade.instance import (
     Address,
     Bounds,
     InstanceSettings,
     _instance,
+    _summaries,
 )
 from magnoliaglade.platform import testing
 from magnoliaglade.standins import platform as platform_standin
@@ -137,6 +138,23 @@
         absent = await caller.call("DELETE", PREFIX + "0" * 16)
         assert absent.status == 410
 
+    async def test_other_instances_can_ask_for_a_state(self, deployment):
+        # Guards against instances that cannot find the coordinator or read its
+        # answer during an outage of the store.
+        _, instance, caller = deployment
+        await caller.call("POST", PREFIX + JOB, body=BODY)
+        await caller.until(PREFIX + JOB, {"state": "completed"})
+        client = _summaries.SummaryClient(
+            address=lambda: instance.election.coordinator_address
+        )
+        summary = await client.find(JOB)
+        assert summary.state is jobs.JobState.COMPLETED
+        assert summary.account == "studio"
+        assert await client.find("0" * 16) is None
+        await client.stop()
+        nobody = _summaries.SummaryClient(address=lambda: "")
+        assert await nobody.find(JOB) is None
+
     async def test_metrics_and_state_are_served(self, deployment):
         _, instance, _ = deployment
         url = f"http://{instance.settings.internal}"
