Show how long plans take; drop settings that nothing uses

Cause: the stalls of the coordinator on the grown deployments showed in no log line and no metric, and half of the lines on starts and ends were dropped there, because each task of a gang had a line for a start that went as planned. Change: histogram magnoliaglade_plan_seconds and a line for a plan above 0.3 s; placement lines carry run numbers and epoch, and start lines are written only for starts that were not carried out or got no answer. Checkpoint interval, factor for distant racks and heartbeat interval were read from the settings and used by no decision. No rack is counted for a demand that fits nowhere.

--- a/magnoliaglade/coordinator/__init__.py
+++ b/magnoliaglade/coordinator/__init__.py
@@ -3,14 +3,12 @@
 from magnoliaglade.coordinator._coordinator import Coordinator, Timings
 from magnoliaglade.coordinator._election import Election, handicap_s
 from magnoliaglade.coordinator._journal import CoordinatorLostError, Journal
-from magnoliaglade.coordinator._snapshot import RunTimes
 
 __all__ = [
     "Coordinator",
     "CoordinatorLostError",
     "Election",
     "Journal",
-    "RunTimes",
     "Timings",
     "handicap_s",
 ]
--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -14,7 +14,7 @@
 from magnoliaglade.coordinator._planning import PlanRunner
 from magnoliaglade.coordinator._reports import ReportHandler
 from magnoliaglade.coordinator._roster import LIST_S, UNCONFIRMED_S, Roster
-from magnoliaglade.coordinator._snapshot import RunTimes, SnapshotBuilder
+from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.fleet import ListedWorker, WorkerReport
 from magnoliaglade.jobs import (
@@ -41,7 +41,7 @@
     longest_lease_s: float
     stop_s: float
     status_s: float
-    run_times: RunTimes
+    restore_s: float
 
 
 class Coordinator:
@@ -59,6 +59,7 @@
             coordinator.
         timings: bounds of the deployment.
         planner: makes plans.
+        observe_plan: called with the seconds that each plan took.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         unconfirmed_s: Callable[[], float],
         timings: Timings,
         planner: placement.Planner,
+        observe_plan: Callable[[float], None] = lambda _: None,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -85,6 +87,7 @@
         self.unconfirmed_s = unconfirmed_s
         self.timings = timings
         self.planner = planner
+        self.observe_plan = observe_plan
         self.table = JobTable()
         self.trust = placement.TrustEstimator()
         self.links: dict[WorkerId, WorkerLink] = {}
@@ -111,7 +114,7 @@
             snapshots=SnapshotBuilder(
                 table=self.table,
                 trust=self.trust,
-                run_times=timings.run_times,
+                restore_s=timings.restore_s,
                 configuration=configuration,
                 removed_zones=removed_zones,
             ),
@@ -121,6 +124,7 @@
             sender=self.sender,
             clock=clock,
             stop_s=timings.stop_s,
+            observe_plan=observe_plan,
             on_planned=self._write,
             on_lost=self._lose,
             on_stall=self._note_stall,
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -149,7 +149,9 @@
         link: WorkerLink,
         reply: fleet.OrderReply,
     ) -> None:
-        self._log_start(progress, key, attempt, reply.outcome.value)
+        if reply.outcome is not OrderOutcome.DONE:
+            # What is started is in the line on the placement.
+            self._log_start(progress, key, attempt, reply.outcome.value)
         if reply.outcome is OrderOutcome.FENCED:
             self.on_fenced(link)
             return
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -22,6 +22,10 @@
 # together are answered by one plan.
 PLAN_PAUSE_S = 0.01
 
+# A plan that takes longer than this in seconds is logged; it delays a renewal
+# of the coordinator's lease by as much.
+SLOW_PLAN_S = 0.3
+
 
 class PlanRunner:
     """Plans on every change; starts are stored before they are sent.
@@ -35,6 +39,7 @@
         sender: sends orders.
         clock: source of time.
         stop_s: longest time that a worker takes to stop a run, in seconds.
+        observe_plan: called with the seconds that each plan took.
         on_planned: called with a job whose planned runs have to be stored.
         on_lost: called with job, task and run of a start that is not sent.
         on_stall: called with job and worker of a run that stands still.
@@ -52,6 +57,7 @@
         sender: OrderSender,
         clock: clock_lib.Clock,
         stop_s: float,
+        observe_plan: Callable[[float], None],
         on_planned: Callable[[JobProgress], None],
         on_lost: Callable[[JobProgress, TaskKey, int], None],
         on_stall: Callable[[JobProgress, WorkerId], None],
@@ -64,6 +70,7 @@
         self.sender = sender
         self.clock = clock
         self.stop_s = stop_s
+        self.observe_plan = observe_plan
         self.on_planned = on_planned
         self.on_lost = on_lost
         self.on_stall = on_stall
@@ -89,8 +96,20 @@
             began_s = self.clock.now()
             self._plan()
             took_s = self.clock.now() - began_s
+            self._note_duration(took_s)
             await self.clock.sleep(max(PLAN_PAUSE_S, took_s))
 
+    def _note_duration(self, took_s: float) -> None:
+        self.observe_plan(took_s)
+        if took_s > SLOW_PLAN_S:
+            observability.log_event(
+                "plan",
+                state="slow",
+                took_s=round(took_s, 3),
+                active_jobs=len(self.table.active),
+                workers=len(self.links),
+            )
+
     def _plan(self) -> None:
         self._stop_hopeless_runs()
         wall_s = self.clock.time()
@@ -126,22 +145,24 @@
             progress, start.unit.step, placed, now_s=wall_s
         )
         self.on_planned(progress)
+        found = [
+            (progress, key, task.attempt)
+            for key in begun
+            if (task := progress.task(key)) and task.attempt
+        ]
         observability.log_event(
             "placement",
             job=progress.job.job,
             step=list(start.unit.step),
             workers=[w for _, w, _ in placed],
+            runs=sorted({attempt.run for _, _, attempt in found}),
+            epoch=self.sender.epoch,
             spread=start.is_spread,
             waited_s=round(
                 wall_s - progress.job.arrived_at_s(start.unit.step.occurrence),
                 3,
             ),
         )
-        found = []
-        for key in begun:
-            task = progress.task(key)
-            if task is not None and task.attempt is not None:
-                found.append((progress, key, task.attempt))
         return found
 
     async def _launch(
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -1,6 +1,5 @@
 """Builds the snapshot that placement decides on from the current state."""
 
-import dataclasses
 from collections.abc import Callable, Iterable
 
 from magnoliaglade.coordinator._link import WorkerLink
@@ -28,22 +27,13 @@
 LATE_FACTOR = 3.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunTimes:
-    """Figures of the deployment that run times depend on, in seconds."""
-
-    checkpoint_s: float
-    restore_s: float
-    far_factor: float
-
-
 class SnapshotBuilder:
     """Translates jobs and links into placement's terms.
 
     Attributes:
         table: the jobs.
         trust: suspicion of workers.
-        run_times: figures of the deployment.
+        restore_s: time to resume from a checkpoint, in seconds.
         configuration: returns the configuration in force.
         removed_zones: returns the zones in which nothing may start.
     """
@@ -53,13 +43,13 @@
         *,
         table: JobTable,
         trust: TrustEstimator,
-        run_times: RunTimes,
+        restore_s: float,
         configuration: Callable[[], Configuration | None],
         removed_zones: Callable[[], frozenset[ZoneId]],
     ) -> None:
         self.table = table
         self.trust = trust
-        self.run_times = run_times
+        self.restore_s = restore_s
         self.configuration = configuration
         self.removed_zones = removed_zones
 
@@ -126,7 +116,7 @@
     def _loss_s(self, spec: StepSpec, elapsed_s: float) -> float:
         if spec.is_checkpointable:
             # A stop saves a checkpoint; only resuming costs time.
-            return min(elapsed_s, self.run_times.restore_s)
+            return min(elapsed_s, self.restore_s)
         return elapsed_s
 
     def _demands(
--- a/magnoliaglade/coordinator/tests/harness.py
+++ b/magnoliaglade/coordinator/tests/harness.py
@@ -140,9 +140,7 @@
                 longest_lease_s=6.0,
                 stop_s=0.2,
                 status_s=120.0,
-                run_times=coordinator.RunTimes(
-                    checkpoint_s=2.0, restore_s=0.25, far_factor=3.0
-                ),
+                restore_s=0.25,
             ),
             planner=placement.Planner(),
         )
--- a/magnoliaglade/coordinator/tests/test_planning.py
+++ b/magnoliaglade/coordinator/tests/test_planning.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import placement
 from magnoliaglade.coordinator import _planning
@@ -30,6 +32,8 @@
 
 
 class EmptyTable:
+    active = ()
+
     def workers(self):
         return []
 
@@ -46,7 +50,7 @@
         self.shifted_s += seconds
 
 
-def make_runner(clock, planner):
+def make_runner(clock, planner, durations):
     return _planning.PlanRunner(
         planner=planner,
         snapshots=FixedSnapshots(),
@@ -56,6 +60,7 @@
         sender=None,
         clock=clock,
         stop_s=0.2,
+        observe_plan=durations.append,
         on_planned=None,
         on_lost=None,
         on_stall=None,
@@ -66,12 +71,14 @@
     """Returns how many plans are made in a time on the clock."""
     clock = SlowClock()
     planner = SlowPlanner(clock)
-    runner = make_runner(clock, planner)
+    durations = []
+    runner = make_runner(clock, planner, durations)
     task = asyncio.ensure_future(runner.run())
     runner.wake.set()
     await clock.advance(seconds)
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
+    assert durations == pytest.approx([PLAN_TAKES_S] * planner.plans)
     return planner.plans
 
 
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -169,13 +169,10 @@
                 longest_lease_s=bounds.longest_lease_s,
                 stop_s=bounds.stop_s,
                 status_s=bounds.status_s,
-                run_times=coordinator.RunTimes(
-                    checkpoint_s=bounds.checkpoint_s,
-                    restore_s=bounds.restore_s,
-                    far_factor=bounds.far_factor,
-                ),
+                restore_s=bounds.restore_s,
             ),
             planner=placement.Planner(),
+            observe_plan=self.metrics.plan_duration.observe,
         )
         try:
             await self._coordinator.run()
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -26,6 +26,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.plan_duration = prometheus_client.Histogram(
+            "magnoliaglade_plan_seconds",
+            "Time that the coordinator takes for a plan.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "magnoliaglade_store_calls",
             "Calls to the key-value service since the start.",
--- a/magnoliaglade/instance/_settings.py
+++ b/magnoliaglade/instance/_settings.py
@@ -32,10 +32,7 @@
         stop_s: longest time that a worker takes to stop a run.
         grace_s: time between SIGTERM and SIGKILL.
         status_s: an ended job is known at least this long.
-        checkpoint_s: work between two checkpoints.
-        restore_s: time to resume from one.
-        far_factor: factor on run times off the data's rack or across racks.
-        heartbeat_s: interval of workers' heartbeats.
+        restore_s: time to resume from a checkpoint.
     """
 
     longest_lease_s: float = 6.0
@@ -43,10 +40,7 @@
     stop_s: float = 0.4
     grace_s: float = 6.0
     status_s: float = 120.0
-    checkpoint_s: float = 2.0
     restore_s: float = 0.25
-    far_factor: float = 3.0
-    heartbeat_s: float = 1.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -46,6 +46,8 @@
     """Returns workers for as many of `count` tasks as fit."""
     fitting = {c.worker: slots(c.worker) for c in candidates}
     usable = [c for c in candidates if fitting[c.worker]]
+    if not usable:
+        return []
     in_rack = _free_by_rack(candidates, room)
     usable.sort(
         key=lambda c: (_preference(c, demand, room), in_rack[c.rack], c.worker)
--- a/magnoliaglade/platform/_boot.py
+++ b/magnoliaglade/platform/_boot.py
@@ -48,7 +48,7 @@
         ready=_address(listen, "ready"),
         internal=Address(host=front.host, port=ports[0]),
         store_address=str(_address(fields.part("platform"), "address")),
-        bounds=_bounds(fields.part("bounds"), fields),
+        bounds=_bounds(fields.part("bounds")),
         cores=_cores(fields.part("limits")),
     )
 
@@ -59,7 +59,7 @@
     return (limits.number("cpuShare") or 1.0) * (limits.number("cores") or 1.0)
 
 
-def _bounds(bounds: Fields, fields: Fields) -> Bounds:
+def _bounds(bounds: Fields) -> Bounds:
     default = Bounds()
 
     def seconds(name: str, fallback: float, unit: float = 1.0) -> float:
@@ -72,10 +72,7 @@
         stop_s=seconds("stopMs", default.stop_s, milli),
         grace_s=seconds("graceS", default.grace_s),
         status_s=seconds("status_s", default.status_s),
-        checkpoint_s=seconds("checkpointIntervalS", default.checkpoint_s),
         restore_s=seconds("restoreMs", default.restore_s, milli),
-        far_factor=seconds("crossRackFactor", default.far_factor),
-        heartbeat_s=fields.number("heartbeatMs") * milli or default.heartbeat_s,
     )
 
 
--- a/magnoliaglade/platform/testing.py
+++ b/magnoliaglade/platform/testing.py
@@ -102,7 +102,6 @@
         "internalPorts": [settings.internal.port, settings.internal.port],
         "platform": {"address": settings.store_address},
         "bounds": {"holdMaxMs": int(settings.bounds.longest_lease_s * 1000)},
-        "heartbeatMs": int(settings.bounds.heartbeat_s * 1000),
     }
     return orjson.dumps(fields)
 
