--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -251,12 +251,9 @@
         if not demand.is_guaranteed and loss > self._allowed_loss(demand):
             return False
         self._stop(chosen, demand)
-        freed = _preemption.freed_by(chosen)
-        for worker, resources in freed.items():
-            if worker in self.room.free:
-                before = self.room.coming.get(worker)
-                total = before + resources if before else resources
-                self.room.coming[worker] = total
+        for victim in chosen:
+            for worker, resources in victim.freed.items():
+                self.room.expect(worker, resources)
         placed = _packing.pack(
             demand,
             emptiest_first[position],
--- a/magnoliaglade/placement/_preemption.py
+++ b/magnoliaglade/placement/_preemption.py
@@ -230,16 +230,6 @@
                 self._add(victim)
 
 
-def freed_by(victims: Iterable[Victim]) -> dict[WorkerId, Resources]:
-    """Returns the capacity that victims free, by worker."""
-    freed: dict[WorkerId, Resources] = {}
-    for victim in victims:
-        for worker, resources in victim.freed.items():
-            before = freed.get(worker, Resources())
-            freed[worker] = before + resources
-    return freed
-
-
 def _group(uses: Iterable[Use]) -> Iterator[Victim]:
     """Yields single runs and whole gangs that may be stopped at all."""
     gangs: dict[UnitId, list[Use]] = {}
--- a/magnoliaglade/placement/_room.py
+++ b/magnoliaglade/placement/_room.py
@@ -92,6 +92,12 @@
             self.free[worker] -= demand.resources
             self._placed[demand.unit, worker] += 1
 
+    def expect(self, worker: WorkerId, resources: Resources) -> None:
+        """Counts capacity of a worker that is about to become free."""
+        if worker in self.free:
+            before = self.coming.get(worker, _NOTHING)
+            self.coming[worker] = before + resources
+
     def block(self, workers: Iterable[WorkerId], *, until_s: float) -> None:
         """Keeps workers free of tasks that would end after `until_s`."""
         for worker in workers:
@@ -111,8 +117,7 @@
         self.uses.setdefault(use.worker, []).append(use)
         self._placed[use.unit, use.worker] += 1
         if use.is_stopping:
-            coming = self.coming.get(use.worker, _NOTHING)
-            self.coming[use.worker] = coming + use.demand
+            self.expect(use.worker, use.demand)
 
 
 def is_eligible(candidate: Candidate, demand: Demand) -> bool:
