Judge standing still by workers' reports only

Cause: a run was given up when the clock had moved on from its last change of progress, whether or not a report had come since. A worker that was cut off for 4.4 s lost its runs, and members of gangs that were through at 100 percent, and waited for slower ones, took the whole gang with them.

Change: the time without progress is summed over successive reports by the worker's clock; a gap between reports starts it anew, and so does a takeover. Of a gang only the members with the least progress are judged.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -14,6 +14,7 @@
 from magnoliaglade.coordinator._planning import PlanRunner
 from magnoliaglade.coordinator._reports import ReportHandler
 from magnoliaglade.coordinator._roster import LIST_S, UNCONFIRMED_S, Roster
+from magnoliaglade.coordinator._run_watch import RunWatch
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.fleet import ListedWorker, WorkerReport
@@ -123,11 +124,17 @@
             journal=self.journal,
             sender=self.sender,
             clock=clock,
-            stop_s=timings.stop_s,
+            watch=RunWatch(
+                table=self.table,
+                links=self.links,
+                sender=self.sender,
+                clock=clock,
+                stop_s=timings.stop_s,
+                on_stall=self._note_stall,
+            ),
             observe_plan=observe_plan,
             on_planned=self._write,
             on_lost=self._lose,
-            on_stall=self._note_stall,
         )
         self._roster = Roster(
             links=self.links,
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -13,6 +13,7 @@
     AttemptState,
     JobProgress,
     RunOutcome,
+    StepKey,
     TaskKey,
 )
 from magnoliaglade.types import Epoch, WorkerId
@@ -79,6 +80,17 @@
             self._stopping.add(mark)
             self._spawn(self._stop(progress, key, attempt, mark))
 
+    def stop_unit(
+        self, progress: JobProgress, key: StepKey, index: int | None
+    ) -> None:
+        """Orders one run of a step to stop, or all if `index` is None."""
+        step = progress.steps.get(key)
+        if step is None:
+            return
+        for number, attempt in list(step.attempts()):
+            if index is None or number == index:
+                self.send_stop(progress, TaskKey(*key, number), attempt)
+
     def stop_stray(self, link: WorkerLink, *, task: str, run: int) -> None:
         """Orders a run to stop that nobody expects."""
         mark = (task, run, link.worker)
@@ -164,7 +176,6 @@
             and attempt.state is AttemptState.SENT
         ):
             attempt.state = AttemptState.RUNNING
-            attempt.percent_at_s = self.clock.now()
 
     def _log_start(
         self,
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -6,14 +6,13 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, observability, placement
-from magnoliaglade.coordinator import _watchdog
 from magnoliaglade.coordinator._journal import Journal
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
+from magnoliaglade.coordinator._run_watch import RunWatch
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.jobs import JobProgress, TaskKey
-from magnoliaglade.placement import UnitId
 from magnoliaglade.types import WorkerId
 
 # Longest time between two plans in seconds, for work that falls due.
@@ -38,11 +37,10 @@
         journal: stores starts before they are sent.
         sender: sends orders.
         clock: source of time.
-        stop_s: longest time that a worker takes to stop a run, in seconds.
+        watch: stops runs that are not worth going on with.
         observe_plan: called with the seconds that each plan took.
         on_planned: called with a job whose planned runs have to be stored.
         on_lost: called with job, task and run of a start that is not sent.
-        on_stall: called with job and worker of a run that stands still.
         wake: set when something has changed.
     """
 
@@ -56,11 +54,10 @@
         journal: Journal,
         sender: OrderSender,
         clock: clock_lib.Clock,
-        stop_s: float,
+        watch: RunWatch,
         observe_plan: Callable[[float], None],
         on_planned: Callable[[JobProgress], None],
         on_lost: Callable[[JobProgress, TaskKey, int], None],
-        on_stall: Callable[[JobProgress, WorkerId], None],
     ) -> None:
         self.planner = planner
         self.snapshots = snapshots
@@ -69,11 +66,10 @@
         self.journal = journal
         self.sender = sender
         self.clock = clock
-        self.stop_s = stop_s
+        self.watch = watch
         self.observe_plan = observe_plan
         self.on_planned = on_planned
         self.on_lost = on_lost
-        self.on_stall = on_stall
         self.wake = asyncio.Event()
         self._launches: set[asyncio.Task[None]] = set()
 
@@ -111,7 +107,7 @@
             )
 
     def _plan(self) -> None:
-        self._stop_hopeless_runs()
+        self.watch.check()
         wall_s = self.clock.time()
         snapshot = self.snapshots.build(
             self.links.values(), wall_s=wall_s, now_s=self.clock.now()
@@ -198,61 +194,6 @@
             index=preemption.index,
             beneficiary=preemption.beneficiary.job,
         )
-        self._stop_unit(progress, preemption.victim, preemption.index)
-
-    def _stop_unit(
-        self, progress: JobProgress, unit: UnitId, index: int | None
-    ) -> None:
-        step = progress.steps.get(unit.step)
-        if step is None:
-            return
-        for number, attempt in list(step.attempts()):
-            if index is None or number == index:
-                self.sender.send_stop(
-                    progress, TaskKey(*unit.step, number), attempt
-                )
-
-    def _stop_hopeless_runs(self) -> None:
-        """Stops runs that stand still or that outlive their worker."""
-        now_s = self.clock.now()
-        for worker in self.table.workers():
-            link = self.links.get(worker)
-            if link is None:
-                continue
-            departure = _watchdog.Departure(
-                leaves_at_s=link.leaves_at_s, stop_s=self.stop_s
-            )
-            for progress, key, attempt in self.table.attempts_on(worker):
-                self._check_run(progress, key, attempt, departure, now_s)
-
-    def _check_run(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: jobs.Attempt,
-        departure: _watchdog.Departure,
-        now_s: float,
-    ) -> None:
-        spec = progress.job.spec.steps[key.step]
-        remaining_s = spec.estimate_s * (100.0 - attempt.percent) / 100.0
-        if _watchdog.is_stalled(spec, attempt, now_s=now_s):
-            reason = "stalled"
-            self.on_stall(progress, attempt.worker)
-        elif _watchdog.must_leave(
-            spec, attempt, departure, now_s=now_s, remaining_s=remaining_s
-        ):
-            reason = "worker leaves"
-        else:
-            return
-        observability.log_event(
-            "run",
-            state="given up",
-            reason=reason,
-            task=progress.job.task_name(key),
-            run=attempt.run,
-            worker=attempt.worker,
-            percent=attempt.percent,
+        self.sender.stop_unit(
+            progress, preemption.victim.step, preemption.index
         )
-        step = jobs.StepKey(key.occurrence, key.step)
-        index = None if spec.is_gang else key.index
-        self._stop_unit(progress, UnitId(progress.job.job, step), index)
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -4,7 +4,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, placement
-from magnoliaglade.coordinator import _reconcile
+from magnoliaglade.coordinator import _reconcile, _watchdog
 from magnoliaglade.coordinator._journal import Journal
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
@@ -111,17 +111,15 @@
     def _note_present(
         self, attempt: jobs.Attempt, percent: float, report: WorkerReport
     ) -> None:
-        now_s = self.clock.now()
         if attempt.state is AttemptState.SENT:
             attempt.state = AttemptState.RUNNING
-            attempt.percent_at_s = now_s
         if attempt.settled_at_s is None:
-            attempt.settled_at_s = now_s
+            attempt.settled_at_s = self.clock.now()
         # A late order may have reached another lifetime than it was for.
         attempt.lifetime = report.lifetime
-        if percent != attempt.percent:
-            attempt.percent = percent
-            attempt.percent_at_s = now_s
+        _watchdog.note_progress(
+            attempt, percent=percent, reported_ms=report.clock_ms
+        )
 
     def _settle_by_stop(
         self, progress: JobProgress, key: TaskKey, requested_at_s: float
--- a/magnoliaglade/coordinator/_watchdog.py
+++ b/magnoliaglade/coordinator/_watchdog.py
@@ -2,9 +2,14 @@
 
 Pure. Answers workers that keep answering while their tasks make no progress,
 and workers that leave before their tasks can end.
+
+Only reports are evidence of standing still, and the time between them is taken
+from the worker's clock: a silent worker, a slow link or a late loop on this
+side proves nothing about the run.
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 from magnoliaglade.jobs import Attempt, AttemptState, StepSpec
 
@@ -12,6 +17,10 @@
 # duration of one percent, and the time below, before it counts as stalled.
 STALL_FACTOR = 12.0
 STALL_S = 2.5
+# Reports further apart than this, in seconds, are no evidence of what happened
+# between them: the worker may have been paused or cut off. It is the wait of
+# one look, the timeout of its call, and a pause after a failed one.
+REPORT_GAP_S = 2.0
 # Time before a worker leaves at which its runs are stopped, beyond the time
 # that a stop takes.
 LEAVE_MARGIN_S = 0.4
@@ -25,14 +34,51 @@
     stop_s: float
 
 
-def is_stalled(spec: StepSpec, attempt: Attempt, *, now_s: float) -> bool:
-    """Tells whether a run has made no progress for too long."""
-    if attempt.state is not AttemptState.RUNNING or spec.is_long_running:
-        return False
-    if not attempt.percent_at_s:
-        return False
+def note_progress(
+    attempt: Attempt, *, percent: float, reported_ms: int
+) -> None:
+    """Applies a report that lists a run.
+
+    Args:
+        attempt: the run.
+        percent: work done.
+        reported_ms: the worker's clock at the report.
+    """
+    gap_s = (reported_ms - attempt.reported_ms) / 1000.0
+    is_first = not attempt.reported_ms
+    if is_first or percent != attempt.percent or gap_s > REPORT_GAP_S:
+        attempt.still_s = 0.0
+    else:
+        attempt.still_s += max(0.0, gap_s)
+    attempt.percent = percent
+    attempt.reported_ms = reported_ms
+
+
+def stalled_runs(spec: StepSpec, attempts: Iterable[Attempt]) -> list[Attempt]:
+    """Returns the runs of a step that hold it up by standing still.
+
+    Args:
+        spec: the step.
+        attempts: the only run of a task, or all runs of a gang.
+
+    Members of a gang end together, so one that is through stays at 100 percent
+    until the slowest is through too. Only members with the least progress are
+    judged, and only if none of them moves. A gang in which every member is
+    through and nothing ends is judged in the same way.
+    """
+    members = list(attempts)
+    if spec.is_long_running or not members:
+        return []
+    if any(
+        m.state is not AttemptState.RUNNING or not m.reported_ms
+        for m in members
+    ):
+        return []
+    least = min(m.percent for m in members)
+    slowest = [m for m in members if m.percent == least]
     allowed_s = STALL_S + STALL_FACTOR * spec.estimate_s / 100.0
-    return now_s - attempt.percent_at_s > allowed_s
+    is_moving = any(m.still_s <= allowed_s for m in slowest)
+    return [] if is_moving else slowest
 
 
 def must_leave(
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -50,7 +50,10 @@
             the run unseen; None while it may be carried out late.
         answered_by_s: monotonic time at which the call of the order ended.
         percent: work done when last seen.
-        percent_at_s: monotonic time since when `percent` has not changed.
+        reported_ms: the worker's clock at the last report that lists the run;
+            0 before the first in this term.
+        still_s: time in seconds, by the worker's clock, for which reports in
+            close succession have shown no progress.
     """
 
     run: int
@@ -61,7 +64,8 @@
     settled_at_s: float | None = None
     answered_by_s: float = float("inf")
     percent: float = 0.0
-    percent_at_s: float = 0.0
+    reported_ms: int = 0
+    still_s: float = 0.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -44,6 +44,8 @@
         defers_orders: orders are not answered and wait in `deferred`.
         fails_all: every run ends as failed.
         stands_still: runs make no progress.
+        is_ahead: runs show 100 percent long before they end, as members of a
+            gang do that wait for slower ones.
     """
 
     is_cut: bool = False
@@ -51,6 +53,7 @@
     defers_orders: bool = False
     fails_all: bool = False
     stands_still: bool = False
+    is_ahead: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -310,5 +313,7 @@
     def _percent(self, run: _Run) -> float:
         if self.faults.stands_still:
             return 0.0
+        if self.faults.is_ahead:
+            return 100.0
         elapsed_s = self.clock.now() - run.started_at_s
         return float(int(min(99.0, 100.0 * elapsed_s / run.duration_s)))
