Send orders only under a permission that still holds

Cause: renewals of leases were tied to the age of the store's confirmation, but starts, stops and acknowledgements were not. A coordinator that was frozen past the end of its lease sent 76 stops after it woke, and stopped only when a worker refused its epoch.

Change: one object answers what may be sent now, from the ages of the store's confirmation, of the operators' state and of the list of workers. Clients ask it after they have connected, in the step in which the request is written. Starts need all three views; renewals of leases keep their longer bound, since a successor waits as long. No plan is made without permission. What a plan relied on (zone, worker, job, run) is checked again when its start is sent. Changes of the permission are logged once with the ages. A coordinator whose bound has run out answers for final states only.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -7,13 +7,15 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import fleet, jobs, observability, placement, store
+from magnoliaglade.coordinator._election import LEASE_TTL_S
 from magnoliaglade.coordinator._housekeeping import Housekeeping
 from magnoliaglade.coordinator._journal import CoordinatorLostError, Journal
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
+from magnoliaglade.coordinator._permission import Permission, make_limits
 from magnoliaglade.coordinator._planning import PlanRunner
 from magnoliaglade.coordinator._reports import ReportHandler
-from magnoliaglade.coordinator._roster import LIST_S, UNCONFIRMED_S, Roster
+from magnoliaglade.coordinator._roster import LIST_S, Roster
 from magnoliaglade.coordinator._run_watch import RunWatch
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
@@ -43,6 +45,8 @@
     stop_s: float
     status_s: float
     restore_s: float
+    evacuate_s: float
+    drain_s: float
 
 
 class Coordinator:
@@ -58,6 +62,7 @@
         removed_zones: returns the zones in which nothing may start.
         unconfirmed_s: returns the seconds since the store last confirmed this
             coordinator.
+        zones_age_s: returns the age of configuration and removed zones.
         timings: bounds of the deployment.
         planner: makes plans.
         observe_plan: called with the seconds that each plan took.
@@ -74,6 +79,7 @@
         configuration: Callable[[], Configuration | None],
         removed_zones: Callable[[], frozenset[ZoneId]],
         unconfirmed_s: Callable[[], float],
+        zones_age_s: Callable[[], float],
         timings: Timings,
         planner: placement.Planner,
         observe_plan: Callable[[float], None] = lambda _: None,
@@ -86,6 +92,7 @@
         self.configuration = configuration
         self.removed_zones = removed_zones
         self.unconfirmed_s = unconfirmed_s
+        self.zones_age_s = zones_age_s
         self.timings = timings
         self.planner = planner
         self.observe_plan = observe_plan
@@ -95,10 +102,21 @@
         self.journal = Journal(
             store=store, clock=clock, guard=(keys.COORDINATOR_KEY, epoch)
         )
+        self.permission = Permission(
+            unconfirmed_s=unconfirmed_s,
+            zones_age_s=zones_age_s,
+            workers_age_s=lambda: self._roster.age_s,
+            limits=make_limits(
+                lease_ttl_s=LEASE_TTL_S,
+                evacuate_s=timings.evacuate_s,
+                drain_s=timings.drain_s,
+            ),
+        )
         self.sender = OrderSender(
             links=self.links,
             clock=clock,
             epoch=epoch,
+            permission=self.permission,
             on_end=self._end,
             on_fenced=self.fenced,
         )
@@ -123,6 +141,7 @@
             links=self.links,
             journal=self.journal,
             sender=self.sender,
+            permission=self.permission,
             clock=clock,
             watch=RunWatch(
                 table=self.table,
@@ -153,6 +172,7 @@
             clock=clock,
             table=self.table,
             journal=self.journal,
+            permission=self.permission,
             status_s=timings.status_s,
         )
         self._lost = asyncio.Event()
@@ -193,10 +213,6 @@
         finally:
             await self._close(tasks)
 
-    def may_renew(self) -> bool:
-        """See `LinkOwner.may_renew`."""
-        return self.unconfirmed_s() <= UNCONFIRMED_S
-
     def is_busy(self, worker: WorkerId) -> bool:
         """See `LinkOwner.is_busy`."""
         return bool(self.table.attempts_on(worker))
@@ -219,6 +235,9 @@
         progress = self.table.jobs.get(job)
         if progress is None:
             return None
+        if not progress.state.is_final and not self.permission.may_renew():
+            # A successor may know more by now; a final state stays true.
+            return None
         return jobs.JobSummary(
             state=progress.state, account=progress.job.account
         )
@@ -231,6 +250,7 @@
             "active_jobs": len(self.table.active),
             "workers": {w: x.dump() for w, x in self.links.items()},
             "journal": self.journal.dump(),
+            "permission": self.permission.dump(),
         }
 
     def handle_report(
--- a/magnoliaglade/coordinator/_housekeeping.py
+++ b/magnoliaglade/coordinator/_housekeeping.py
@@ -5,6 +5,7 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import observability, store
 from magnoliaglade.coordinator._journal import Journal
+from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.jobs import keys
 from magnoliaglade.types import JobId
@@ -25,6 +26,7 @@
         clock: source of time.
         table: the jobs.
         journal: stores counts and removals.
+        permission: whether records may be removed.
         status_s: an ended job is known at least this long, in seconds.
         ended_at_s: when jobs were seen to have ended.
     """
@@ -36,12 +38,14 @@
         clock: clock_lib.Clock,
         table: JobTable,
         journal: Journal,
+        permission: Permission,
         status_s: float,
     ) -> None:
         self.store = store
         self.clock = clock
         self.table = table
         self.journal = journal
+        self.permission = permission
         self.status_s = status_s
         self.ended_at_s: dict[JobId, float] = {}
         self._published: dict[str, int] | None = None
@@ -70,6 +74,8 @@
         keep_s = self.status_s + RETENTION_MARGIN_S
         while True:
             await self.clock.sleep(CLEAN_UP_S)
+            if not self.permission.may_act():
+                continue
             now_s = self.clock.now()
             for job, ended_at_s in list(self.ended_at_s.items()):
                 if now_s - ended_at_s > keep_s and job not in self.table.active:
--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -7,6 +7,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import fleet, observability
+from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.fleet import ListedWorker, WorkerReport
 from magnoliaglade.types import Epoch, Lifetime, WorkerId
 
@@ -33,9 +34,7 @@
     """What a link needs of the coordinator."""
 
     epoch: Epoch
-
-    def may_renew(self) -> bool:
-        """Tells whether leases may still be renewed."""
+    permission: Permission
 
     def is_busy(self, worker: WorkerId) -> bool:
         """Tells whether a worker has, or may have, runs."""
@@ -188,21 +187,29 @@
 
     async def _look(self) -> None:
         await self._close_outdated()
+        permission = self.owner.permission
         position, number = self._pending
-        if number > self._acknowledged:
+        acknowledged = self._acknowledged
+        if number > acknowledged:
             is_stored = await self.owner.wait_stored(
                 position, timeout_s=STORE_WAIT_S
             )
-            if is_stored:
-                self._acknowledged = number
+            if is_stored and permission.may_act():
+                acknowledged = number
+        is_new = acknowledged > self._acknowledged
         requested_at_s = self.clock.now()
-        async with self.offered_lease(renews=self.owner.may_renew()) as until:
+        async with self.offered_lease(renews=permission.may_renew()) as until:
             report = await self.client.observe(
                 epoch=self.owner.epoch,
-                acknowledged=self._acknowledged,
+                acknowledged=acknowledged,
                 lease_until_ms=until,
-                wait_s=self._wait_s(number),
+                wait_s=self._wait_s(is_pending=number > acknowledged),
+                may_send=lambda: (
+                    (until is None or permission.may_renew())
+                    and (not is_new or permission.may_act())
+                ),
             )
+        self._acknowledged = acknowledged
         self._note_answer(report)
         position = self.owner.handle_report(self, report, requested_at_s)
         if report.ended:
@@ -239,10 +246,8 @@
         self.leaves_at_s = float("inf")
         self.lease.forget_clock()
 
-    def _wait_s(self, pending_number: int) -> float:
-        if not self.lease.is_synchronized:
-            return 0.0
-        if pending_number > self._acknowledged:
+    def _wait_s(self, *, is_pending: bool) -> float:
+        if is_pending or not self.lease.is_synchronized:
             return 0.0
         if self.owner.is_busy(self.worker):
             return BUSY_WAIT_S
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -7,6 +7,7 @@
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import fleet, observability
 from magnoliaglade.coordinator._link import RETRY_S, WorkerLink
+from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.fleet import OrderOutcome
 from magnoliaglade.jobs import (
     Attempt,
@@ -36,6 +37,7 @@
         links: links by worker.
         clock: source of time.
         epoch: epoch of the coordinator.
+        permission: whether orders may be sent.
         on_end: called with job, task, run and outcome when a run is known not
             to exist.
         on_fenced: called when a worker obeys a later coordinator.
@@ -47,24 +49,38 @@
         links: dict[WorkerId, WorkerLink],
         clock: clock_lib.Clock,
         epoch: Epoch,
+        permission: Permission,
         on_end: Callable[[JobProgress, TaskKey, int, RunOutcome], None],
         on_fenced: Callable[[WorkerLink], None],
     ) -> None:
         self.links = links
         self.clock = clock
         self.epoch = epoch
+        self.permission = permission
         self.on_end = on_end
         self.on_fenced = on_fenced
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping: set[tuple[str, int, WorkerId]] = set()
 
     def send_start(
-        self, progress: JobProgress, key: TaskKey, attempt: Attempt
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        *,
+        may_send: fleet.MaySend = fleet.may_always_send,
     ) -> None:
-        """Orders the start of a planned run that is stored."""
+        """Orders the start of a planned run that is stored.
+
+        Args:
+            progress: the job.
+            key: the task.
+            attempt: the planned run.
+            may_send: asked together with the permission to start.
+        """
         # From here on only the worker's word ends the run.
         attempt.state = AttemptState.SENT
-        self._spawn(self._start(progress, key, attempt))
+        self._spawn(self._start(progress, key, attempt, may_send))
 
     def send_stop(
         self, progress: JobProgress, key: TaskKey, attempt: Attempt
@@ -110,14 +126,22 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _start(
-        self, progress: JobProgress, key: TaskKey, attempt: Attempt
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        may_send: fleet.MaySend,
     ) -> None:
         link = self.links.get(attempt.worker)
         if link is None or link.lifetime != attempt.lifetime:
             self.on_end(progress, key, attempt.run, RunOutcome.LOST)
             return
         try:
-            reply = await self._order_start(progress, key, attempt, link)
+            reply = await self._order_start(
+                progress, key, attempt, link, may_send
+            )
+        except fleet.OrderWithheldError:
+            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
         except (
             fleet.WorkerNotReachedError,
             fleet.WorkerReplacedError,
@@ -139,6 +163,7 @@
         key: TaskKey,
         attempt: Attempt,
         link: WorkerLink,
+        may_send: fleet.MaySend,
     ) -> fleet.OrderReply:
         async with link.offered_lease() as until_ms:
             if until_ms is None:
@@ -151,7 +176,10 @@
                 epoch=self.epoch,
                 checkpoint=progress.checkpoint_of(key),
             )
-            return await link.client.start(order)
+            return await link.client.start(
+                order,
+                may_send=lambda: self.permission.may_start() and may_send(),
+            )
 
     def _note_start(
         self,
@@ -226,7 +254,14 @@
 
     async def _try_stop(self, link: WorkerLink, task: str, run: int) -> bool:
         try:
-            reply = await link.client.stop(task=task, run=run, epoch=self.epoch)
+            reply = await link.client.stop(
+                task=task,
+                run=run,
+                epoch=self.epoch,
+                may_send=self.permission.may_act,
+            )
+        except fleet.OrderWithheldError:
+            return False
         except fleet.FleetError as error:
             observability.log_event(
                 "stop",
--- /dev/null
+++ b/magnoliaglade/coordinator/_permission.py
@@ -0,0 +1,136 @@
+"""Whether this process may still act as the coordinator.
+
+Answers processes that were paused, delayed or cut off from the store and go on
+with what they knew before. All ages are taken at the moment of the question,
+on a clock that counts suspended time. Callers ask in the same step in which
+they send: there is no await between the answer and the write to the socket.
+"""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from magnoliaglade import observability
+
+# Orders stop this long before the store may end the coordinator's lease, in
+# seconds, for clocks that run at different rates.
+LEASE_SLACK_S = 0.1
+# Leases of runs are renewed without the store's confirmation for this long.
+# Whoever takes over waits as long before it gives up a worker that it cannot
+# reach.
+UNCONFIRMED_S = 8.0
+# Time in seconds that a start may take from the check to the worker.
+ORDER_TRAVEL_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PermissionLimits:
+    """Greatest ages, in seconds, at which something may be done.
+
+    Attributes:
+        act_s: age of the store's confirmation for orders.
+        renew_s: age of the store's confirmation for renewals of leases.
+        zones_s: age of configuration and removed zones for starts.
+        workers_s: age of the list of workers for starts.
+    """
+
+    act_s: float
+    renew_s: float
+    zones_s: float
+    workers_s: float
+
+
+def make_limits(
+    *, lease_ttl_s: float, evacuate_s: float, drain_s: float
+) -> PermissionLimits:
+    """Derives the limits from the bounds of the deployment.
+
+    Args:
+        lease_ttl_s: life of the coordinator's lease without renewal.
+        evacuate_s: nothing may start in a removed zone after this.
+        drain_s: nothing may start on a draining worker after this.
+    """
+    return PermissionLimits(
+        act_s=lease_ttl_s - LEASE_SLACK_S,
+        renew_s=UNCONFIRMED_S,
+        zones_s=evacuate_s - ORDER_TRAVEL_S,
+        workers_s=drain_s - ORDER_TRAVEL_S,
+    )
+
+
+class Permission:
+    """Answers what this process may do now.
+
+    Attributes:
+        unconfirmed_s: returns the age of the store's last confirmation that
+            this process is the coordinator.
+        zones_age_s: returns the age of configuration and removed zones.
+        workers_age_s: returns the age of the list of workers.
+        limits: greatest ages.
+    """
+
+    def __init__(
+        self,
+        *,
+        unconfirmed_s: Callable[[], float],
+        zones_age_s: Callable[[], float],
+        workers_age_s: Callable[[], float],
+        limits: PermissionLimits,
+    ) -> None:
+        self.unconfirmed_s = unconfirmed_s
+        self.zones_age_s = zones_age_s
+        self.workers_age_s = workers_age_s
+        self.limits = limits
+        self._withheld: set[str] = set()
+
+    def may_act(self) -> bool:
+        """Tells whether orders and acknowledgements may be sent."""
+        return self._note("orders", self._is_confirmed())
+
+    def may_renew(self) -> bool:
+        """Tells whether leases of runs may be renewed."""
+        is_recent = self.unconfirmed_s() <= self.limits.renew_s
+        return self._note("renewals", is_recent)
+
+    def may_start(self) -> bool:
+        """Tells whether tasks may be started: all views must be recent."""
+        is_recent = (
+            self._is_confirmed()
+            and self.zones_age_s() <= self.limits.zones_s
+            and self.workers_age_s() <= self.limits.workers_s
+        )
+        return self._note("starts", is_recent)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the ages and what is withheld."""
+        return {"withheld": sorted(self._withheld), **self._ages()}
+
+    def _is_confirmed(self) -> bool:
+        return self.unconfirmed_s() <= self.limits.act_s
+
+    def _note(self, what: str, is_allowed: bool) -> bool:
+        """Logs changes only."""
+        if is_allowed == (what not in self._withheld):
+            return is_allowed
+        if is_allowed:
+            self._withheld.discard(what)
+        else:
+            self._withheld.add(what)
+        observability.log_event(
+            "permission",
+            of=what,
+            state="granted" if is_allowed else "withheld",
+            **self._ages(),
+        )
+        return is_allowed
+
+    def _ages(self) -> dict[str, float]:
+        return {
+            "unconfirmed_s": _rounded(self.unconfirmed_s()),
+            "zones_age_s": _rounded(self.zones_age_s()),
+            "workers_age_s": _rounded(self.workers_age_s()),
+        }
+
+
+def _rounded(age_s: float) -> float:
+    return round(min(age_s, 1e6), 3)
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Callable
 
 from magnoliaglade import clock as clock_lib
@@ -9,6 +10,7 @@
 from magnoliaglade.coordinator._journal import Journal
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
+from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.coordinator._run_watch import RunWatch
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
@@ -36,6 +38,7 @@
         links: links by worker.
         journal: stores starts before they are sent.
         sender: sends orders.
+        permission: whether orders may be sent.
         clock: source of time.
         watch: stops runs that are not worth going on with.
         observe_plan: called with the seconds that each plan took.
@@ -53,6 +56,7 @@
         links: dict[WorkerId, WorkerLink],
         journal: Journal,
         sender: OrderSender,
+        permission: Permission,
         clock: clock_lib.Clock,
         watch: RunWatch,
         observe_plan: Callable[[float], None],
@@ -65,6 +69,7 @@
         self.links = links
         self.journal = journal
         self.sender = sender
+        self.permission = permission
         self.clock = clock
         self.watch = watch
         self.observe_plan = observe_plan
@@ -107,7 +112,11 @@
             )
 
     def _plan(self) -> None:
+        if not self.permission.may_act():
+            return
         self.watch.check()
+        if not self.permission.may_start():
+            return
         wall_s = self.clock.time()
         snapshot = self.snapshots.build(
             self.links.values(), wall_s=wall_s, now_s=self.clock.now()
@@ -168,23 +177,29 @@
     ) -> None:
         """Sends starts once they are stored."""
         await self.journal.wait_stored(position)
-        removed = self.snapshots.removed_zones()
         for progress, key, attempt in begun:
             task = progress.task(key)
             if task is None or task.attempt is not attempt:
                 continue
-            link = self.links.get(attempt.worker)
-            is_allowed = (
-                link is not None
-                and not progress.state.is_final
-                and not link.listed.is_draining
-                and link.listed.zone not in removed
-            )
-            if is_allowed:
-                self.sender.send_start(progress, key, attempt)
+            may_send = functools.partial(self._may_start, progress, attempt)
+            if self.permission.may_start() and may_send():
+                self.sender.send_start(
+                    progress, key, attempt, may_send=may_send
+                )
             else:
                 self.on_lost(progress, key, attempt.run)
 
+    def _may_start(self, progress: JobProgress, attempt: jobs.Attempt) -> bool:
+        """Tells whether what the plan relied on still holds."""
+        link = self.links.get(attempt.worker)
+        return (
+            link is not None
+            and link.is_open
+            and link.listed.zone not in self.snapshots.removed_zones()
+            and not progress.state.is_final
+            and attempt.state is not jobs.AttemptState.STOPPING
+        )
+
     def _preempt(self, preemption: placement.Preemption) -> None:
         progress = self.table.jobs[preemption.victim.job]
         observability.log_event(
--- a/magnoliaglade/coordinator/_roster.py
+++ b/magnoliaglade/coordinator/_roster.py
@@ -10,6 +10,7 @@
     LinkOwner,
     WorkerLink,
 )
+from magnoliaglade.coordinator._permission import UNCONFIRMED_S
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.fleet import ListedWorker
 from magnoliaglade.jobs import AttemptState, JobProgress, TaskKey
@@ -18,9 +19,6 @@
 # Interval of reading the list of workers in seconds; a worker that drains must
 # get no work two seconds after it says so.
 LIST_S = 0.5
-# Leases are renewed without the store's confirmation for this long. Whoever
-# takes over waits as long before it gives up a worker that it cannot reach.
-UNCONFIRMED_S = 8.0
 
 
 class Roster:
@@ -64,10 +62,17 @@
         self.on_lost = on_lost
         self.on_change = on_change
         self.began_at_s = clock.now()
+        self.listed_at_s = float("-inf")
+
+    @property
+    def age_s(self) -> float:
+        """Age of the list in seconds, from the request that returned it."""
+        return self.clock.now() - self.listed_at_s
 
     async def run(self) -> None:
         """Reads the list at a fixed interval until cancelled."""
         while True:
+            sent_at_s = self.clock.now()
             try:
                 listed = await self.list_workers()
             except store.StoreError as error:
@@ -75,6 +80,7 @@
                     "worker list", outcome="no answer", reason=str(error)
                 )
             else:
+                self.listed_at_s = sent_at_s
                 await self._update_links(listed)
             await self.clock.sleep(LIST_S)
 
--- a/magnoliaglade/coordinator/tests/harness.py
+++ b/magnoliaglade/coordinator/tests/harness.py
@@ -114,6 +114,7 @@
         self.unlisted = set()
         self.removed_zones = set()
         self.unconfirmed_s = 0.0
+        self.zones_age_s = 0.0
         self.configuration = make_configuration(guaranteed=16)
         self.terms = []
 
@@ -136,11 +137,14 @@
                 ZoneId(z) for z in self.removed_zones
             ),
             unconfirmed_s=lambda: self.unconfirmed_s,
+            zones_age_s=lambda: self.zones_age_s,
             timings=coordinator.Timings(
                 longest_lease_s=6.0,
                 stop_s=0.2,
                 status_s=120.0,
                 restore_s=0.25,
+                evacuate_s=5.0,
+                drain_s=2.0,
             ),
             planner=placement.Planner(),
         )
--- a/magnoliaglade/coordinator/tests/test_planning.py
+++ b/magnoliaglade/coordinator/tests/test_planning.py
@@ -35,6 +35,14 @@
     active = ()
 
 
+class FullPermission:
+    def may_act(self):
+        return True
+
+    def may_start(self):
+        return True
+
+
 class NoWatch:
     def check(self):
         pass
@@ -60,6 +68,7 @@
         links={},
         journal=None,
         sender=None,
+        permission=FullPermission(),
         clock=clock,
         watch=NoWatch(),
         observe_plan=durations.append,
--- a/magnoliaglade/coordinator/tests/test_silence.py
+++ b/magnoliaglade/coordinator/tests/test_silence.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from magnoliaglade import store
 from magnoliaglade.coordinator.tests import harness
 
 RUN_S = 12.0
@@ -61,3 +62,106 @@
         await deployment.elect()
         await deployment.clock.advance(RUN_S + 2.0)
         assert len(deployment.starts(job)) == 3
+
+
+def order_epochs(deployment):
+    return [o.epoch for e in deployment.engines.values() for o in e.orders]
+
+
+class TestPausedCoordinator:
+    async def test_no_order_leaves_after_the_lease_has_ended(self, deployment):
+        # Guards against a process that wakes from a pause and sends starts
+        # and stops before it learns that another has taken over.
+        first = await deployment.elect()
+        running = await submit_many(deployment, accelerators=4)
+        await deployment.clock.advance(1.0)
+        sent = len(order_epochs(deployment))
+        deployment.unconfirmed_s = 2.0
+        waiting = await deployment.submit(harness.make_job("late"))
+        for job in running[:2]:
+            first.table.jobs[job].cancel()
+            first._stop_all(first.table.jobs[job])
+        await deployment.clock.advance(2.0)
+        assert len(order_epochs(deployment)) == sent
+        deployment.unconfirmed_s = 0.0
+        await deployment.clock.advance(1.0)
+        assert len(deployment.starts(waiting)) == 1
+        assert not deployment.where(f"{running[0]}.0.0.0")
+
+    async def test_a_pause_while_connecting_is_noticed(self, deployment):
+        # Guards against a permission that is checked before a connection is
+        # made and runs out until it stands.
+        first = await deployment.elect()
+        await deployment.clock.advance(0.5)
+        link = first.links["w0"]
+        start = link.client.start
+
+        async def start_after_a_pause(order, **options):
+            deployment.unconfirmed_s = 6.0
+            return await start(order, **options)
+
+        for other in first.links.values():
+            other.client.start = start_after_a_pause
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        assert order_epochs(deployment) == []
+        assert deployment.starts(job) == []
+
+    async def test_leases_are_renewed_while_the_store_is_out(self, deployment):
+        # Running work outlives an outage; only orders are withheld.
+        await deployment.elect()
+        jobs = await submit_many(deployment, accelerators=4)
+        await deployment.clock.advance(1.0)
+        deployment.unconfirmed_s = 7.5
+        await deployment.clock.advance(RUN_S - 2.0)
+        assert len(deployment.starts()) == len(jobs)
+        assert all(deployment.where(f"{j}.0.0.0") for j in jobs)
+
+
+class TestOldViews:
+    async def test_nothing_starts_on_an_old_view_of_the_zones(self, deployment):
+        # Guards against a start in a zone that was removed meanwhile.
+        await deployment.elect()
+        deployment.zones_age_s = 4.6
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        assert deployment.starts(job) == []
+        deployment.zones_age_s = 0.3
+        await deployment.clock.advance(1.0)
+        assert len(deployment.starts(job)) == 1
+
+    async def test_nothing_starts_on_an_old_list_of_workers(self, deployment):
+        # Guards against a start on a worker that drains, when the store
+        # answers again for writes but not for the list.
+        current = await deployment.elect()
+        await deployment.clock.advance(1.0)
+
+        async def no_answer():
+            raise store.StoreUnknownError("no answer")
+
+        current._roster.list_workers = no_answer
+        await deployment.clock.advance(2.0)
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        assert deployment.starts(job) == []
+
+    async def test_a_start_that_waited_for_the_store_is_checked_again(
+        self, deployment
+    ):
+        # Guards against a start that was planned before its zone was removed
+        # and is sent when the store answers again.
+        slow = deployment.faulty_store()
+        transact = slow.transact
+
+        async def transact_late(**options):
+            await deployment.clock.sleep(1.0)
+            return await transact(**options)
+
+        slow.transact = transact_late
+        await deployment.elect(used_store=slow)
+        await deployment.clock.advance(3.0)
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.5)
+        deployment.removed_zones.update({"a", "b"})
+        await deployment.clock.advance(2.0)
+        assert deployment.starts(job) == []
--- a/magnoliaglade/fleet/__init__.py
+++ b/magnoliaglade/fleet/__init__.py
@@ -4,9 +4,11 @@
 from magnoliaglade.fleet.base import (
     FleetError,
     ListedWorker,
+    MaySend,
     OrderOutcome,
     OrderReply,
     OrderUnknownError,
+    OrderWithheldError,
     RunEnd,
     RunStatus,
     StartOrder,
@@ -15,6 +17,7 @@
     WorkerNotReachedError,
     WorkerReplacedError,
     WorkerReport,
+    may_always_send,
 )
 
 __all__ = [
@@ -22,10 +25,12 @@
     "FleetError",
     "LeaseBound",
     "ListedWorker",
+    "MaySend",
     "Offer",
     "OrderOutcome",
     "OrderReply",
     "OrderUnknownError",
+    "OrderWithheldError",
     "RunEnd",
     "RunStatus",
     "StartOrder",
@@ -34,4 +39,5 @@
     "WorkerNotReachedError",
     "WorkerReplacedError",
     "WorkerReport",
+    "may_always_send",
 ]
--- a/magnoliaglade/fleet/base.py
+++ b/magnoliaglade/fleet/base.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 from magnoliaglade import exceptions
@@ -23,9 +24,11 @@
 __all__ = [
     "FleetError",
     "ListedWorker",
+    "MaySend",
     "OrderOutcome",
     "OrderReply",
     "OrderUnknownError",
+    "OrderWithheldError",
     "RunEnd",
     "RunStatus",
     "StartOrder",
@@ -34,9 +37,13 @@
     "WorkerNotReachedError",
     "WorkerReplacedError",
     "WorkerReport",
+    "may_always_send",
 ]
 
 
+MaySend = Callable[[], bool]
+
+
 class FleetError(exceptions.MagnoliagladeError):
     """Base class of errors of calls to workers."""
 
@@ -45,6 +52,10 @@
     """The order was not sent; the worker has not seen it."""
 
 
+class OrderWithheldError(WorkerNotReachedError):
+    """The sender's permission had run out; the order was not sent."""
+
+
 class OrderUnknownError(FleetError):
     """No answer came; the order may be carried out, also later."""
 
@@ -170,8 +181,17 @@
     clock_ms: int = 0
 
 
+def may_always_send() -> bool:
+    """Stands for a call that needs no permission."""
+    return True
+
+
 class WorkerClient(Protocol):
-    """Calls to one worker; every method may raise a `FleetError`."""
+    """Calls to one worker; every method may raise a `FleetError`.
+
+    `may_send` is asked in the same step in which the call is sent, after a
+    connection stands; if it returns False, `OrderWithheldError` is raised.
+    """
 
     async def observe(
         self,
@@ -180,6 +200,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_s: float,
+        may_send: MaySend = may_always_send,
     ) -> WorkerReport:
         """Renews the lease of all runs and returns them.
 
@@ -189,12 +210,22 @@
             lease_until_ms: new end of the lease on the worker's clock; None
                 leaves it.
             wait_s: time to wait for an end, in seconds.
+            may_send: permission for the call.
         """
 
-    async def start(self, order: StartOrder) -> OrderReply:
+    async def start(
+        self, order: StartOrder, *, may_send: MaySend = may_always_send
+    ) -> OrderReply:
         """Orders the start of a run."""
 
-    async def stop(self, *, task: str, run: int, epoch: Epoch) -> OrderReply:
+    async def stop(
+        self,
+        *,
+        task: str,
+        run: int,
+        epoch: Epoch,
+        may_send: MaySend = may_always_send,
+    ) -> OrderReply:
         """Orders a run to stop; one that is not there never starts."""
 
     async def close(self) -> None:
--- a/magnoliaglade/http/__init__.py
+++ b/magnoliaglade/http/__init__.py
@@ -6,6 +6,7 @@
     NoAnswerError,
     NotSentError,
     Reply,
+    WithheldError,
 )
 from magnoliaglade.http._server import (
     BodyTooLargeError,
@@ -29,6 +30,7 @@
     "NoAnswerError",
     "NotSentError",
     "Reply",
+    "WithheldError",
     "bind",
     "json_response",
     "new_application",
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 from urllib import parse
 
@@ -25,6 +26,10 @@
     """No connection was made; the server has not seen the call."""
 
 
+class WithheldError(NotSentError):
+    """The caller's permission had run out when the call was to be sent."""
+
+
 class NoAnswerError(HttpClientError):
     """No whole answer came; the call may have had its effect."""
 
@@ -90,6 +95,7 @@
         body: bytes | None = None,
         content_type: str = "application/msgpack",
         timeout_s: float | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Reply:
         """Sends one request and returns the whole answer.
 
@@ -101,9 +107,12 @@
             body: request body.
             content_type: media type of the body.
             timeout_s: overrides the client's timeout.
+            may_send: asked when the connection stands, in the same step in
+                which the request is written.
 
         Raises:
             NotSentError: no connection could be made.
+            WithheldError: `may_send` returned False.
             NoAnswerError: no whole answer within the timeout.
         """
         names = dict(headers or {})
@@ -113,9 +122,14 @@
         try:
             async with asyncio.timeout(timeout_s or self.timeout_s):
                 connection = await self._connect()
+                if may_send is not None and not may_send():
+                    self._keep(connection)
+                    raise WithheldError(f"{self.url}{path}")
                 status, content = await connection.exchange(
                     method, _target(path, query), [*names.items()], body or b""
                 )
+        except WithheldError:
+            raise
         except BaseException as error:
             if connection is not None:
                 connection.close()
--- a/magnoliaglade/instance/_settings.py
+++ b/magnoliaglade/instance/_settings.py
@@ -33,6 +33,8 @@
         grace_s: time between SIGTERM and SIGKILL.
         status_s: an ended job is known at least this long.
         restore_s: time to resume from a checkpoint.
+        evacuate_s: nothing may start in a removed zone after this.
+        drain_s: nothing may start on a draining worker after this.
     """
 
     longest_lease_s: float = 6.0
@@ -41,6 +43,8 @@
     grace_s: float = 6.0
     status_s: float = 120.0
     restore_s: float = 0.25
+    evacuate_s: float = 5.0
+    drain_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/platform/_boot.py
+++ b/magnoliaglade/platform/_boot.py
@@ -73,6 +73,8 @@
         grace_s=seconds("graceS", default.grace_s),
         status_s=seconds("status_s", default.status_s),
         restore_s=seconds("restoreMs", default.restore_s, milli),
+        evacuate_s=seconds("evacuateMs", default.evacuate_s, milli),
+        drain_s=seconds("drainMs", default.drain_s, milli),
     )
 
 
--- a/magnoliaglade/platform/_worker.py
+++ b/magnoliaglade/platform/_worker.py
@@ -51,6 +51,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_s: float,
+        may_send: fleet.MaySend = fleet.may_always_send,
     ) -> fleet.WorkerReport:
         """See `WorkerClient.observe`."""
         body: dict[str, Any] = {"fence": epoch, "lastSeen": acknowledged}
@@ -59,7 +60,10 @@
         if wait_s > 0:
             body["waitMs"] = int(wait_s * 1000)
         status, reply = await self._post(
-            "/api/hold", body, timeout_s=self.call_timeout_s + wait_s
+            "/api/hold",
+            body,
+            may_send=may_send,
+            timeout_s=self.call_timeout_s + wait_s,
         )
         if status == _CONFLICT:
             raise fleet.WorkerFencedError(f"{self.worker}: {reply!r}")
@@ -67,7 +71,12 @@
             raise fleet.OrderUnknownError(f"{self.worker}: status {status}")
         return self._report(reply)
 
-    async def start(self, order: fleet.StartOrder) -> fleet.OrderReply:
+    async def start(
+        self,
+        order: fleet.StartOrder,
+        *,
+        may_send: fleet.MaySend = fleet.may_always_send,
+    ) -> fleet.OrderReply:
         """See `WorkerClient.start`."""
         body: dict[str, Any] = {
             "task": order.task,
@@ -78,21 +87,35 @@
         }
         if order.checkpoint:
             body["lastCheckpoint"] = order.checkpoint
-        return _order_reply(*await self._post("/api/run-start", body))
+        return _order_reply(
+            *await self._post("/api/run-start", body, may_send=may_send)
+        )
 
     async def stop(
-        self, *, task: str, run: int, epoch: Epoch
+        self,
+        *,
+        task: str,
+        run: int,
+        epoch: Epoch,
+        may_send: fleet.MaySend = fleet.may_always_send,
     ) -> fleet.OrderReply:
         """See `WorkerClient.stop`."""
         body = {"task": task, "run": run, "fence": epoch}
-        return _order_reply(*await self._post("/api/run-stop", body))
+        return _order_reply(
+            *await self._post("/api/run-stop", body, may_send=may_send)
+        )
 
     async def close(self) -> None:
         """Closes the connections."""
         await self._client.stop()
 
     async def _post(
-        self, path: str, body: dict[str, Any], *, timeout_s: float | None = None
+        self,
+        path: str,
+        body: dict[str, Any],
+        *,
+        may_send: fleet.MaySend,
+        timeout_s: float | None = None,
     ) -> tuple[int, Any]:
         try:
             reply = await self._client.call(
@@ -102,7 +125,10 @@
                 headers={"Expect-Instance": self.worker},
                 content_type="application/json",
                 timeout_s=timeout_s,
+                may_send=may_send,
             )
+        except http.WithheldError as error:
+            raise fleet.OrderWithheldError(str(error)) from error
         except http.NotSentError as error:
             raise fleet.WorkerNotReachedError(str(error)) from error
         except http.NoAnswerError as error:
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -67,6 +67,14 @@
     checkpoint: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OrderRecord:
+    """A start or stop that has arrived, obeyed or not."""
+
+    epoch: Epoch
+    at_s: float
+
+
 class WorkerEngine:
     """One worker; see `fleet.WorkerClient`.
 
@@ -77,6 +85,7 @@
         stop_s: time that a stop takes, in seconds.
         faults: what goes wrong.
         starts: every start, in order.
+        orders: every start or stop that has arrived, in order.
     """
 
     def __init__(
@@ -107,6 +116,7 @@
         self.leaves_in_s = 0.0
         self.address = "127.0.0.1:1"
         self.starts: list[StartRecord] = []
+        self.orders: list[OrderRecord] = []
         self.deferred: list[fleet.StartOrder] = []
         self.highest_epoch = Epoch(0)
         self._runs: dict[str, _Run] = {}
@@ -159,9 +169,10 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_s: float,
+        may_send: fleet.MaySend = fleet.may_always_send,
     ) -> fleet.WorkerReport:
         """See `WorkerClient.observe`."""
-        await self._arrive()
+        await self._arrive(may_send)
         if not self._accepts(epoch):
             raise fleet.WorkerFencedError(self.worker)
         if lease_until_ms is not None:
@@ -173,9 +184,17 @@
         await self._answer()
         return self._report()
 
-    async def start(self, order: fleet.StartOrder) -> OrderReply:
+    async def start(
+        self,
+        order: fleet.StartOrder,
+        *,
+        may_send: fleet.MaySend = fleet.may_always_send,
+    ) -> OrderReply:
         """See `WorkerClient.start`."""
-        await self._arrive()
+        await self._arrive(may_send)
+        self.orders.append(
+            OrderRecord(epoch=order.epoch, at_s=self.clock.now())
+        )
         if self.faults.defers_orders:
             self.deferred.append(order)
             raise fleet.OrderUnknownError("deferred")
@@ -183,9 +202,17 @@
         await self._answer()
         return OrderReply(outcome=outcome, clock_ms=self._clock_ms())
 
-    async def stop(self, *, task: str, run: int, epoch: Epoch) -> OrderReply:
+    async def stop(
+        self,
+        *,
+        task: str,
+        run: int,
+        epoch: Epoch,
+        may_send: fleet.MaySend = fleet.may_always_send,
+    ) -> OrderReply:
         """See `WorkerClient.stop`."""
-        await self._arrive()
+        await self._arrive(may_send)
+        self._note_order(epoch)
         outcome = OrderOutcome.FENCED
         if self._accepts(epoch):
             self._stop(task, run)
@@ -196,12 +223,18 @@
     async def close(self) -> None:
         """See `WorkerClient.close`."""
 
-    async def _arrive(self) -> None:
+    async def _arrive(self, may_send: fleet.MaySend) -> None:
+        # A connection takes a moment; the permission is asked after it.
         await self.clock.sleep(0)
+        if not may_send():
+            raise fleet.OrderWithheldError(self.worker)
         if self.faults.is_cut:
             raise fleet.WorkerNotReachedError(self.worker)
         self._advance()
 
+    def _note_order(self, epoch: Epoch) -> None:
+        self.orders.append(OrderRecord(epoch=epoch, at_s=self.clock.now()))
+
     async def _answer(self) -> None:
         if self.faults.is_cut or self.faults.loses_answers:
             raise fleet.OrderUnknownError(self.worker)
