Survive malformed messages and unforeseen errors; leave the place when late

Causes, found by reading and by fuzzing the decoders: - A worker entry whose address has no valid port ended the link's task for good. - An answer to an order with an odd clock, and a store answer that is a list, raised errors that nobody caught. - 64 steps that each depend on all before made the chain of durations take 2^62 steps: the coordinator hung, and so would each successor. - Numbers beyond 64 bits, and ten digits of repetitions, passed the checks of a submission. - Background tasks that ended by an unforeseen error ended silently; an error while one job was planned ended the term, and then that of each successor.

Change: decoders raise their own errors only; chains are computed in one pass; each background part is restarted with a doubling pause and a log line with the place of the error; a job that cannot be planned is left out alone; the front answers an unforeseen error with 504, since the effect is unknown.

A monitor measures how late the event loop wakes. A coordinator whose mean lateness reaches 0.5 s leaves its place, and a late instance leaves a vacancy to others for 5 s; if nobody takes it, a late one is better than none.

Queues are found by name in a table: a configuration that grows by many routes no longer makes each plan slower.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -6,7 +6,14 @@
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import fleet, jobs, observability, placement, store
+from magnoliaglade import (
+    fleet,
+    jobs,
+    observability,
+    placement,
+    store,
+    supervision,
+)
 from magnoliaglade.coordinator._election import LEASE_TTL_S
 from magnoliaglade.coordinator._housekeeping import Housekeeping
 from magnoliaglade.coordinator._journal import CoordinatorLostError, Journal
@@ -184,18 +191,25 @@
         tasks: list[asyncio.Task[Any]] = []
         try:
             await self._load()
-            tasks = [
-                asyncio.ensure_future(work)
-                for work in (
-                    self._lost.wait(),
-                    self.journal.run(),
-                    self._intake.run(),
-                    self._roster.run(),
-                    self._plans.run(),
-                    self._housekeeping.publish_counts(),
-                    self._housekeeping.clean_up(),
+            tasks = [asyncio.ensure_future(self._lost.wait())]
+            tasks.extend(
+                asyncio.ensure_future(
+                    supervision.keep_running(
+                        work,
+                        part=part,
+                        clock=self.clock,
+                        expected=(CoordinatorLostError,),
+                    )
+                )
+                for part, work in (
+                    ("journal", self.journal.run),
+                    ("intake", self._intake.run),
+                    ("worker list", self._roster.run),
+                    ("plans", self._plans.run),
+                    ("counts", self._housekeeping.publish_counts),
+                    ("clean-up", self._housekeeping.clean_up),
                 )
-            ]
+            )
             done, _ = await asyncio.wait(
                 tasks, return_when=asyncio.FIRST_COMPLETED
             )
--- a/magnoliaglade/coordinator/_election.py
+++ b/magnoliaglade/coordinator/_election.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from magnoliaglade import base, observability
+from magnoliaglade import base, observability, supervision
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import store as store_lib
 from magnoliaglade.jobs import keys
@@ -32,6 +32,15 @@
 CORES_WANTED = 1.0
 HANDICAP_S = 0.3
 
+# An instance whose loop is late, or that has just left the place for this
+# reason, leaves a vacancy to others for this long, in seconds.
+STAND_BACK_S = 5.0
+# Interval of looking whether the loop is late, in seconds, and the time after
+# its election for which a coordinator keeps its place in any case: reading all
+# jobs delays the loop.
+LATE_CHECK_S = 0.5
+SETTLING_S = 3.0
+
 Term = Callable[[Epoch], Awaitable[None]]
 
 
@@ -57,6 +66,7 @@
         ttl_s: life of the lease without renewal.
         renew_s: interval of renewals.
         handicap_s: seconds for which the place is left to other instances.
+        is_late: tells whether this instance's loop has been late for a while.
     """
 
     _parameter_constraints = {
@@ -78,6 +88,7 @@
         ttl_s: float = LEASE_TTL_S,
         renew_s: float = RENEW_S,
         handicap_s: float = 0.0,
+        is_late: Callable[[], bool] = lambda: False,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -89,8 +100,10 @@
         self.ttl_s = ttl_s
         self.renew_s = renew_s
         self.handicap_s = handicap_s
+        self.is_late = is_late
         self.epoch: Epoch | None = None
         self.confirmed_at_s = float("-inf")
+        self._stands_back_until_s = float("-inf")
         self._lease: LeaseId | None = None
         self._task: asyncio.Task[None] | None = None
         self._watcher = store_lib.PrefixWatcher(
@@ -116,7 +129,11 @@
     async def start(self) -> None:
         """Stands for election in the background."""
         self.validate_params()
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            supervision.keep_running(
+                self._run, part="election", clock=self.clock
+            )
+        )
 
     async def stop(self) -> None:
         """Gives the coordinator's place up."""
@@ -150,6 +167,13 @@
             await self._watcher.step()
         spread_s = self.random.uniform(0.0, SPREAD_S)
         await self.clock.sleep(self.handicap_s + spread_s)
+        back_s = self._stands_back_until_s - self.clock.now()
+        if self.is_late():
+            back_s = STAND_BACK_S
+        if back_s > 0:
+            # If nobody else takes the place meanwhile, a late coordinator is
+            # better than none.
+            await self.clock.sleep(back_s)
 
     async def _acquire(self) -> Epoch | None:
         """Creates the key; returns None if another instance was first."""
@@ -179,19 +203,24 @@
         observability.log_event("coordinator", state="acquired", epoch=epoch)
         term = asyncio.ensure_future(self.term(epoch))
         renewal = asyncio.ensure_future(self._renew())
+        lateness = asyncio.ensure_future(self._await_lateness())
         reason = "lost"
         try:
             await asyncio.wait(
-                {term, renewal}, return_when=asyncio.FIRST_COMPLETED
+                {term, renewal, lateness}, return_when=asyncio.FIRST_COMPLETED
             )
+            if lateness.done():
+                reason = "left, since the loop is late"
+                now_s = self.clock.now()
+                self._stands_back_until_s = now_s + STAND_BACK_S
         except asyncio.CancelledError:
             reason = "released"
             raise
         finally:
-            renewal.cancel()
-            term.cancel()
+            for task in (renewal, term, lateness):
+                task.cancel()
             results = await asyncio.gather(
-                term, renewal, return_exceptions=True
+                term, renewal, lateness, return_exceptions=True
             )
             self.epoch = None
             observability.log_event(
@@ -202,6 +231,12 @@
             )
             await self._end_lease()
 
+    async def _await_lateness(self) -> None:
+        """Returns when the loop is late after the first seconds."""
+        await self.clock.sleep(SETTLING_S)
+        while not self.is_late():
+            await self.clock.sleep(LATE_CHECK_S)
+
     async def _renew(self) -> None:
         """Renews the lease; returns when the store has ended it."""
         pause_s = self.renew_s
--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import fleet, observability
+from magnoliaglade import fleet, observability, supervision
 from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.fleet import ListedWorker, WorkerReport
 from magnoliaglade.types import Epoch, Lifetime, WorkerId
@@ -111,7 +111,11 @@
 
     def start(self) -> None:
         """Begins to look at the worker."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            supervision.keep_running(
+                self._run, part=f"link to {self.worker}", clock=self.clock
+            )
+        )
 
     async def stop(self) -> None:
         """Stops looking and closes the connections."""
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -149,8 +149,10 @@
             link.cool_down()
             self._log_start(progress, key, attempt, repr(error))
             self.on_end(progress, key, attempt.run, RunOutcome.LOST)
-        except fleet.FleetError as error:
-            # The next report tells whether the run is there.
+        except Exception as error:
+            # The next report tells whether the run is there. Errors that are
+            # not foreseen are treated in the same way, or the run would stay
+            # unsettled for ever.
             attempt.answered_by_s = self.clock.now()
             link.cool_down()
             self._log_start(progress, key, attempt, repr(error))
@@ -262,7 +264,8 @@
             )
         except fleet.OrderWithheldError:
             return False
-        except fleet.FleetError as error:
+        except Exception as error:
+            # Any error, or a run that must end would go on unnoticed.
             observability.log_event(
                 "stop",
                 task=task,
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from magnoliaglade import observability, supervision
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.jobs import (
@@ -52,6 +53,7 @@
         self.restore_s = restore_s
         self.configuration = configuration
         self.removed_zones = removed_zones
+        self._failed: set[JobId] = set()
 
     def build(
         self, links: Iterable[WorkerLink], *, wall_s: float, now_s: float
@@ -65,7 +67,7 @@
             is_protected = progress.job.job in protected
             uses.extend(self._uses(progress, wall_s, is_protected))
             if not progress.state.is_final:
-                demands.extend(self._demands(progress, wall_s, is_protected))
+                demands.extend(self._demands_of(progress, wall_s, is_protected))
         return Snapshot(
             now_s=wall_s,
             candidates=tuple(self._candidate(x, now_s) for x in links),
@@ -119,6 +121,25 @@
             return min(elapsed_s, self.restore_s)
         return elapsed_s
 
+    def _demands_of(
+        self, progress: JobProgress, wall_s: float, is_protected: bool
+    ) -> list[Demand]:
+        """Returns a job's demands; an error keeps back this job alone."""
+        job = progress.job.job
+        if job in self._failed:
+            return []
+        try:
+            return list(self._demands(progress, wall_s, is_protected))
+        except Exception as error:
+            self._failed.add(job)
+            observability.log_event(
+                "job",
+                state="not plannable",
+                job=job,
+                **supervision.describe_error(error),
+            )
+            return []
+
     def _demands(
         self, progress: JobProgress, wall_s: float, is_protected: bool
     ) -> Iterable[Demand]:
@@ -211,7 +232,11 @@
 
 def _chain_from(steps: tuple[StepSpec, ...], first: int) -> float:
     """Returns the longest chain of durations that begins with a step."""
-    after = [
-        _chain_from(steps, i) for i, s in enumerate(steps) if first in s.after
-    ]
-    return steps[first].estimate_s + max(after, default=0.0)
+    lengths = [step.estimate_s for step in steps]
+    # Steps only come after earlier ones.
+    for number in range(len(steps) - 1, first, -1):
+        for before in steps[number].after:
+            lengths[before] = max(
+                lengths[before], steps[before].estimate_s + lengths[number]
+            )
+    return lengths[first]
--- a/magnoliaglade/coordinator/tests/test_election.py
+++ b/magnoliaglade/coordinator/tests/test_election.py
@@ -136,3 +136,35 @@
         entry = await found.memory.get(keys.COORDINATOR_KEY)
         assert entry.revision == found.epochs[0]
         await found.elections[0].stop()
+
+
+class TestLateLoops:
+    async def test_a_late_coordinator_leaves_its_place(self, candidates):
+        # Guards against a coordinator on a slow machine that keeps its lease
+        # while reports, renewals and plans lag behind.
+        await candidates.advance(2.0)
+        (first,) = candidates.serving
+        candidates.elections[first].is_late = lambda: True
+        await candidates.advance(4.0)
+        assert len(candidates.serving) == 1
+        assert first not in candidates.serving
+
+    async def test_one_that_is_late_leaves_a_vacancy_to_others(
+        self, candidates
+    ):
+        await candidates.advance(2.0)
+        (first,) = candidates.serving
+        second, third = (n for n in range(3) if n != first)
+        candidates.elections[second].is_late = lambda: True
+        await candidates.elections[first].stop()
+        await candidates.advance(2.0)
+        assert candidates.serving == {third}
+
+    async def test_a_late_one_is_better_than_none(self, candidates):
+        await candidates.advance(2.0)
+        for election in candidates.elections:
+            election.is_late = lambda: True
+        (first,) = candidates.serving
+        await candidates.elections[first].stop()
+        await candidates.advance(7.0)
+        assert len(candidates.serving) == 1
--- a/magnoliaglade/coordinator/tests/test_silence.py
+++ b/magnoliaglade/coordinator/tests/test_silence.py
@@ -4,6 +4,7 @@
 
 from magnoliaglade import store
 from magnoliaglade.coordinator.tests import harness
+from magnoliaglade.jobs import JobState
 
 RUN_S = 12.0
 # Shorter than the lease of a run, longer than a stalled run is waited for.
@@ -165,3 +166,69 @@
         deployment.removed_zones.update({"a", "b"})
         await deployment.clock.advance(2.0)
         assert deployment.starts(job) == []
+
+
+class TestUnforeseenErrors:
+    async def test_one_broken_report_does_not_end_the_link(self, deployment):
+        # Guards against a worker that nobody looks at any more because one
+        # of its reports could not be applied.
+        current = await deployment.elect()
+        await deployment.clock.advance(0.5)
+        handle = current._reports.handle
+        broken = []
+
+        def handle_once_broken(link, report, requested_at_s):
+            if not broken:
+                broken.append(link.worker)
+                raise ValueError("unforeseen")
+            return handle(link, report, requested_at_s)
+
+        current._reports.handle = handle_once_broken
+        jobs = await submit_many(deployment, accelerators=4)
+        await deployment.clock.advance(RUN_S + 6.0)
+        assert broken
+        assert len(deployment.starts()) == len(jobs)
+        for job in jobs:
+            assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_a_job_that_cannot_be_planned_holds_up_no_other(
+        self, deployment
+    ):
+        current = await deployment.elect()
+        odd = await deployment.submit(harness.make_job("odd"))
+        current.table.add(harness.make_job("odd"))
+        current.table.jobs[odd].open_steps = None
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        assert len(deployment.starts(job)) == 1
+
+    async def test_many_steps_that_depend_on_all_before_are_planned(
+        self, deployment
+    ):
+        # Guards against a chain that is computed along every path: 64 steps
+        # have 2^62 of them, and the coordinator and its successors hang.
+        steps = [
+            harness.make_step(after=tuple(range(i)), estimate_s=1.0)
+            for i in range(64)
+        ]
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a", *steps))
+        await deployment.clock.advance(1.0)
+        assert len(deployment.starts(job)) == 1
+
+    async def test_an_unforeseen_error_of_a_start_settles_it(self, deployment):
+        # Guards against a run that stays in doubt for ever.
+        current = await deployment.elect()
+        await deployment.clock.advance(0.5)
+
+        async def fail(order, **options):
+            raise ValueError("unforeseen")
+
+        for link in current.links.values():
+            link.client.start = fail
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.3)
+        for link in current.links.values():
+            del link.client.start
+        await deployment.clock.advance(RUN_S + 10.0)
+        assert await deployment.state(job) is JobState.COMPLETED
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -23,6 +23,7 @@
     platform,
     routing,
     store,
+    supervision,
 )
 from magnoliaglade.gateway import Gateway
 from magnoliaglade.instance._metrics import InstanceMetrics
@@ -79,6 +80,7 @@
             revoke_s=settings.bounds.revoke_s,
             ask_coordinator=self._summaries.find,
         )
+        self.monitor = supervision.LoopMonitor(clock=clock)
         self.election = coordinator.Election(
             store=self.store,
             clock=clock,
@@ -88,6 +90,7 @@
             random=random.Random(),  # noqa: S311
             address=str(settings.internal),
             handicap_s=coordinator.handicap_s(settings.cores),
+            is_late=lambda: self.monitor.is_late,
         )
         self._servers = self._make_servers()
         self._confirming: asyncio.Task[None] | None = None
@@ -111,9 +114,14 @@
             await server.start()
         await self._client.start()
         await self.follower.start()
+        await self.monitor.start()
         await self.election.start()
         self._confirming = asyncio.create_task(
-            self.gateway.confirm_completions()
+            supervision.keep_running(
+                self.gateway.confirm_completions,
+                part="completions",
+                clock=self.clock,
+            )
         )
         observability.log_event(
             "instance",
@@ -135,6 +143,7 @@
             self._confirming.cancel()
             await asyncio.gather(self._confirming, return_exceptions=True)
         await self.follower.stop()
+        await self.monitor.stop()
         await self._summaries.stop()
         await self._client.stop()
         observability.log_event("instance", state="stopped")
@@ -148,6 +157,7 @@
             "configuration": self.follower.dump(),
             "gateway": self.gateway.dump(),
             "election": self.election.dump(),
+            "loop": self.monitor.dump(),
             "coordinator": (
                 self._coordinator.dump() if self._coordinator else None
             ),
@@ -242,6 +252,7 @@
         self.metrics.store_calls.set(self.store.calls)
         self.metrics.configuration_age.set(min(self.follower.age_s, 1e9))
         self.metrics.coordinator_epoch.set(self.election.epoch or 0)
+        self.metrics.loop_lag.set(self.monitor.lag_s)
         active = len(current.table.active) if current else 0
         self.metrics.active_jobs.set(active)
 
@@ -271,7 +282,11 @@
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     await instance.start()
     reloading = asyncio.ensure_future(
-        _follow_settings(instance, path, load, reload)
+        supervision.keep_running(
+            lambda: _follow_settings(instance, path, load, reload),
+            part="settings",
+            clock=instance.clock,
+        )
     )
     await stopping.wait()
     reloading.cancel()
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -47,6 +47,11 @@
             "Epoch of this instance as the coordinator; 0 if it is not.",
             registry=self.registry,
         )
+        self.loop_lag = prometheus_client.Gauge(
+            "magnoliaglade_loop_lag_seconds",
+            "Mean lateness of the event loop over some seconds.",
+            registry=self.registry,
+        )
         self.active_jobs = prometheus_client.Gauge(
             "magnoliaglade_active_jobs",
             "Jobs that have not ended, on the coordinator.",
--- a/magnoliaglade/platform/_boot.py
+++ b/magnoliaglade/platform/_boot.py
@@ -79,8 +79,5 @@
 
 
 def _address(fields: Fields, name: str) -> Address:
-    text = fields.text(name, is_required=True)
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise MalformedError(f"{name}: found {text!r}, host:port is allowed")
-    return Address(host=host, port=int(port))
+    host, port = fields.address(name)
+    return Address(host=host, port=port)
--- a/magnoliaglade/platform/_documents.py
+++ b/magnoliaglade/platform/_documents.py
@@ -127,10 +127,11 @@
     labels: list[Any] = fields.items("labels")
     if not all(isinstance(x, str) for x in labels):
         raise MalformedError("labels: texts are expected")
+    host, port = fields.address("address")
     return fleet.ListedWorker(
         worker=WorkerId(entry.key.removeprefix(WORKER_PREFIX)),
         lifetime=Lifetime(fields.whole("born")),
-        address=fields.text("address", is_required=True),
+        address=f"{host}:{port}",
         service=ServiceName(fields.text("service", is_required=True)),
         zone=ZoneId(fields.text("zone", is_required=True)),
         # The kind of the executor comes first, its rack last.
--- a/magnoliaglade/platform/_front.py
+++ b/magnoliaglade/platform/_front.py
@@ -7,7 +7,7 @@
 import blacksheep
 from blacksheep.server import routing as routes
 
-from magnoliaglade import http, jobs, routing
+from magnoliaglade import http, jobs, observability, routing, supervision
 from magnoliaglade.gateway import Gateway, Verdict
 from magnoliaglade.platform import _submission
 from magnoliaglade.platform._fields import MalformedError
@@ -17,6 +17,8 @@
 DEFAULT_BODY_BYTES = 262_144
 # Time limit of a caller that names none, in milliseconds.
 DEFAULT_DEADLINE_MS = 3_000
+# Time limits from this on, in milliseconds, are taken for the default.
+LONGEST_DEADLINE_MS = 1_000_000
 # Share of the caller's time limit after which it is answered in any case.
 DEADLINE_SHARE = 0.8
 
@@ -64,7 +66,7 @@
 
         async def handle(request: blacksheep.Request) -> blacksheep.Response:
             began_s = time.monotonic()
-            response = await self._handle(request)
+            response = await self._answer_or_report(request)
             duration_s = time.monotonic() - began_s
             self.observe(request.method, response.status, duration_s)
             if self.is_stopping():
@@ -83,6 +85,22 @@
 
         return http.new_application({("GET", "/api/ready"): ready})
 
+    async def _answer_or_report(
+        self, request: blacksheep.Request
+    ) -> blacksheep.Response:
+        """Handles a call; after an unforeseen error its effect is unknown."""
+        try:
+            return await self._handle(request)
+        except Exception as error:
+            observability.log_event(
+                "error",
+                part="front",
+                method=request.method,
+                path=request.url.path.decode("latin-1"),
+                **supervision.describe_error(error),
+            )
+            return _status(504)
+
     async def _handle(self, request: blacksheep.Request) -> blacksheep.Response:
         configuration = self.follower.configuration
         if configuration is None:
@@ -201,7 +219,9 @@
 def _limit_s(request: blacksheep.Request) -> float:
     value = request.get_first_header(b"deadline-ms") or b""
     text = value.decode("latin-1")
-    limit_ms = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+    limit_ms = DEFAULT_DEADLINE_MS
+    if text.isdecimal() and len(text) < len(str(LONGEST_DEADLINE_MS)):
+        limit_ms = int(text)
     return max(0.05, limit_ms * DEADLINE_SHARE / 1000.0)
 
 
--- a/magnoliaglade/platform/_store.py
+++ b/magnoliaglade/platform/_store.py
@@ -188,6 +188,14 @@
         return reply.status, _parse(reply.body)
 
 
+_DAMAGE = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+    binascii.Error,
+)
 _ANSWERS = frozenset({_OK, _NOT_FOUND, _GONE, _PRECONDITION_FAILED})
 
 
@@ -203,7 +211,7 @@
 def _decode(decoder: Any, reply: Any) -> Any:
     try:
         return decoder(reply)
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except _DAMAGE as error:
         raise store.StoreUnknownError(f"broken answer: {error!r}") from error
 
 
--- a/magnoliaglade/platform/_submission.py
+++ b/magnoliaglade/platform/_submission.py
@@ -10,6 +10,9 @@
 MAX_PAYLOAD_BYTES = 4_000
 MAX_STEPS = 64
 MAX_TASKS = 4_096
+# Occurrences of a job, and tasks of all of them.
+MAX_REPETITIONS = 10_000
+MAX_TASKS_IN_ALL = 1_000_000
 
 # What this version does not run: it is refused, never ignored.
 _UNSUPPORTED = ("fills", "targetMs", "mayMiss")
@@ -41,12 +44,19 @@
         _step(Fields(data=row), number, is_long_running)
         for number, row in enumerate(rows)
     )
-    if sum(s.count for s in steps) > MAX_TASKS:
+    tasks = sum(s.count for s in steps)
+    if tasks > MAX_TASKS:
         raise MalformedError(f"steps: more than {MAX_TASKS} tasks")
+    repetitions = fields.whole("repetitions")
+    if repetitions > MAX_REPETITIONS or tasks * repetitions > MAX_TASKS_IN_ALL:
+        raise MalformedError(
+            f"repetitions: at most {MAX_REPETITIONS} with "
+            f"{MAX_TASKS_IN_ALL} tasks in all"
+        )
     return JobSpec(
         payload=payload,
         steps=steps,
-        repetitions=fields.whole("repetitions"),
+        repetitions=repetitions,
         start_at_s=fields.number("startMs") / 1000.0,
         interval_s=fields.number("intervalMs") / 1000.0,
     )
--- a/magnoliaglade/platform/_worker.py
+++ b/magnoliaglade/platform/_worker.py
@@ -18,6 +18,8 @@
 _CONFLICT = 409
 _MISDIRECTED = 421
 
+_DAMAGE = (KeyError, TypeError, ValueError, IndexError, OverflowError)
+
 _REASONS = {
     "fence": fleet.OrderOutcome.FENCED,
     "old": fleet.OrderOutcome.SUPERSEDED,
@@ -147,7 +149,7 @@
                 ended=ended,
                 is_complete=len(ended) < _ENDS_PER_ANSWER,
             )
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except _DAMAGE as error:
             raise fleet.OrderUnknownError(
                 f"{self.worker}: broken report: {error!r}"
             ) from error
@@ -164,7 +166,10 @@
 
 
 def _order_reply(status: int, reply: dict[str, Any]) -> fleet.OrderReply:
-    clock_ms = int(reply.get("clockMs") or 0)
+    clock_ms = reply.get("clockMs")
+    if not isinstance(clock_ms, int):
+        # It serves as a reading of the clock only.
+        clock_ms = 0
     if status == _OK:
         outcome = fleet.OrderOutcome.DONE
     elif status == _CONFLICT:
--- a/magnoliaglade/platform/tests/test_decoding.py
+++ b/magnoliaglade/platform/tests/test_decoding.py
@@ -59,6 +59,8 @@
             b"[]",
             {**WORKER, "state": "odd"},
             {**WORKER, "address": 5},
+            {**WORKER, "address": "10.0.0.9"},
+            {**WORKER, "address": "10.0.0.9:99999"},
             {k: v for k, v in WORKER.items() if k != "zone"},
             {**WORKER, "labels": [1]},
             {**WORKER, "capacity": {"gpu": "8"}},
--- a/magnoliaglade/routing/_configuration.py
+++ b/magnoliaglade/routing/_configuration.py
@@ -1,6 +1,7 @@
 """The operators' configuration of queues, services and client accounts."""
 
 import dataclasses
+import functools
 import hashlib
 from collections.abc import Mapping
 
@@ -63,6 +64,11 @@
     max_body_bytes: int
     accounts_by_key: Mapping[bytes, AccountId]
 
+    @functools.cached_property
+    def _queues_by_name(self) -> Mapping[QueueName, Queue]:
+        # The first of several queues with one name counts.
+        return {q.name: q for q in reversed(self.queues)}
+
     def match(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest prefix of a path, if any."""
         found = [
@@ -74,7 +80,7 @@
 
     def queue(self, name: QueueName) -> Queue | None:
         """Returns a queue by name."""
-        return next((q for q in self.queues if q.name == name), None)
+        return self._queues_by_name.get(name)
 
     def account_of(self, key: str) -> AccountId | None:
         """Returns the account that a key belongs to.
--- a/magnoliaglade/routing/_follower.py
+++ b/magnoliaglade/routing/_follower.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from magnoliaglade import base, observability
+from magnoliaglade import base, observability, supervision
 from magnoliaglade import clock as clock_lib
 from magnoliaglade.routing._configuration import Configuration
 from magnoliaglade.store import Entry, PrefixWatcher, Store
@@ -89,7 +89,11 @@
     async def start(self) -> None:
         """Follows in the background."""
         self.validate_params()
-        self._task = asyncio.create_task(self._watcher.run())
+        self._task = asyncio.create_task(
+            supervision.keep_running(
+                self._watcher.run, part="configuration", clock=self.clock
+            )
+        )
 
     async def stop(self) -> None:
         """Stops following."""
--- /dev/null
+++ b/magnoliaglade/supervision/_loop.py
@@ -0,0 +1,81 @@
+"""Measures how late the event loop runs."""
+
+import asyncio
+import math
+from typing import Any
+
+from magnoliaglade import base, observability
+from magnoliaglade import clock as clock_lib
+
+# Interval of the measurement in seconds.
+INTERVAL_S = 0.1
+# Time constant of the mean in seconds. One long step, such as a plan, is no
+# sign of a slow process; a series of them is.
+MEAN_OVER_S = 2.0
+# Mean lateness in seconds from which a loop counts as late: a third of the life
+# of the coordinator's lease, which then depends on single renewals.
+LATE_S = 0.5
+# A single wake-up this late, in seconds, is logged as a pause of the process.
+PAUSE_S = 1.0
+
+
+class LoopMonitor(base.Component):
+    """Sleeps at a fixed interval and notes how late it wakes.
+
+    Attributes:
+        clock: source of time; it counts suspended time.
+        late_s: mean lateness from which the loop counts as late.
+        lag_s: mean lateness in seconds.
+    """
+
+    _parameter_constraints = {
+        "late_s": [base.Interval(kind=float, low=0, low_open=True)],
+    }
+
+    def __init__(
+        self, *, clock: clock_lib.Clock, late_s: float = LATE_S
+    ) -> None:
+        self.clock = clock
+        self.late_s = late_s
+        self.lag_s = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def is_late(self) -> bool:
+        """Whether the loop has been late for some time."""
+        return self.lag_s >= self.late_s
+
+    async def start(self) -> None:
+        """Measures in the background."""
+        self.validate_params()
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops measuring."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the mean lateness."""
+        return {"lag_s": round(self.lag_s, 3), "is_late": self.is_late}
+
+    def note(self, lateness_s: float) -> None:
+        """Takes one wake-up into account.
+
+        A wake-up stands for the time since the one before, at most for the
+        time constant: a process that was paused once is not slow.
+        """
+        if lateness_s >= PAUSE_S:
+            observability.log_event(
+                "loop", state="paused", lateness_s=round(lateness_s, 3)
+            )
+        seen_s = min(lateness_s, PAUSE_S)
+        weight = 1.0 - math.exp(-(seen_s + INTERVAL_S) / MEAN_OVER_S)
+        self.lag_s += weight * (seen_s - self.lag_s)
+
+    async def _run(self) -> None:
+        while True:
+            due_s = self.clock.now() + INTERVAL_S
+            await self.clock.sleep(INTERVAL_S)
+            self.note(max(0.0, self.clock.now() - due_s))
--- /dev/null
+++ b/magnoliaglade/supervision/tests/test_supervise.py
@@ -0,0 +1,62 @@
+import asyncio
+
+import pytest
+
+from magnoliaglade import clock as clock_lib
+from magnoliaglade.supervision import Backoff, describe_error, keep_running
+
+
+class TestBackoff:
+    def test_pauses_double_up_to_the_longest(self):
+        backoff = Backoff(first_s=0.1, longest_s=0.3)
+        assert [backoff.next_pause_s(t) for t in (0.0, 0.2, 0.4, 0.8)] == [
+            0.1,
+            0.2,
+            0.3,
+            0.3,
+        ]
+
+    def test_a_sound_time_ends_the_series(self):
+        backoff = Backoff(first_s=0.1, longest_s=5.0, sound_after_s=10.0)
+        backoff.next_pause_s(0.0)
+        backoff.next_pause_s(1.0)
+        assert backoff.next_pause_s(20.0) == 0.1
+
+
+class TestKeepRunning:
+    async def test_a_part_is_restarted_after_an_unexpected_error(self):
+        clock = clock_lib.ManualClock()
+        runs = []
+
+        async def work():
+            runs.append(clock.now())
+            if len(runs) < 3:
+                raise ValueError("unforeseen")
+
+        task = asyncio.ensure_future(
+            keep_running(work, part="part", clock=clock)
+        )
+        await clock.advance(1.0)
+        assert task.done()
+        assert len(runs) == 3
+
+    async def test_an_expected_error_is_raised(self):
+        clock = clock_lib.ManualClock()
+
+        async def work():
+            raise KeyError("expected")
+
+        with pytest.raises(KeyError):
+            await keep_running(
+                work, part="part", clock=clock, expected=(KeyError,)
+            )
+
+
+class TestDescription:
+    def test_it_names_error_and_place(self):
+        try:
+            raise ValueError("odd")
+        except ValueError as error:
+            fields = describe_error(error)
+        assert fields["reason"] == "ValueError('odd')"
+        assert "test_it_names_error_and_place" in fields["frames"][-1]
