Wait for long answers of the store while they arrive; bound transactions

All records of 97 jobs take longer than the 0.7 s of one call on its link of 2 Mbit/s, so each read was given up and begun again. The same holds for transactions of large records.

Change: the timeout of a list applies to the time without any part of the answer, up to 20 s in all. A transaction carries 64 KiB of values, or one larger record.

Tests: an answer in parts that together take longer than the timeout, silence within a long answer, and transactions of large records.

--- a/magnoliaglade/coordinator/_journal.py
+++ b/magnoliaglade/coordinator/_journal.py
@@ -17,6 +17,9 @@
 # Entries of a transaction: two for each record, one for the guard.
 MAX_ENTRIES = 32
 RECORDS_PER_TRANSACTION = (MAX_ENTRIES - 2) // 2
+# Values of a transaction, in bytes, unless one record alone is larger. More do
+# not reach the store within a call's timeout over the link of a small instance.
+TRANSACTION_BYTES = 65_536
 # Pause after a call that the store refused.
 RETRY_S = 0.1
 
@@ -135,19 +138,20 @@
 
     async def _write_all(self) -> None:
         position = self._last_change
-        batch_keys = list(self._dirty)
-        for start in range(0, len(batch_keys), RECORDS_PER_TRANSACTION):
-            await self._write_batch(
-                batch_keys[start : start + RECORDS_PER_TRANSACTION]
-            )
+        waiting = list(self._dirty)
+        while waiting:
+            written = await self._write_batch(waiting[:RECORDS_PER_TRANSACTION])
+            waiting = waiting[written:]
         self._stored_change = position
         stored, self._stored = self._stored, asyncio.Event()
         stored.set()
 
-    async def _write_batch(self, keys: list[str]) -> None:
+    async def _write_batch(self, keys: list[str]) -> int:
+        """Writes the first of some records; returns how many."""
         await self._resolve(k for k in keys if k in self._uncertain)
         encoders = {k: self._dirty[k] for k in keys}
-        values = {k: encode() for k, encode in encoders.items()}
+        values = _encode_some(encoders)
+        keys = list(values)
         guard_key, guard_revision = self.guard
         expected = {k: self._revisions.get(k, 0) for k in keys}
         puts = [
@@ -173,9 +177,10 @@
         self._revisions.update({p.key: revision for p in puts})
         for key in deletes:
             self._revisions.pop(key, None)
-        for key, encode in encoders.items():
-            if self._dirty.get(key) is encode:
+        for key in keys:
+            if self._dirty.get(key) is encoders[key]:
                 del self._dirty[key]
+        return len(keys)
 
     async def _resolve(self, keys: Iterable[str]) -> None:
         """Reads records whose last write got no answer."""
@@ -190,3 +195,18 @@
     def _check_guard(self, entry: store.Entry | None) -> None:
         if entry is None or entry.revision != self.guard[1]:
             raise CoordinatorLostError("the coordinator's key has changed")
+
+
+def _encode_some(
+    encoders: Mapping[str, Callable[[], bytes | None]],
+) -> dict[str, bytes | None]:
+    """Encodes records in turn, up to the size of a transaction."""
+    values: dict[str, bytes | None] = {}
+    size = 0
+    for key, encode in encoders.items():
+        value = encode()
+        size += len(value or b"")
+        if values and size > TRANSACTION_BYTES:
+            break
+        values[key] = value
+    return values
--- a/magnoliaglade/coordinator/tests/test_journal.py
+++ b/magnoliaglade/coordinator/tests/test_journal.py
@@ -44,6 +44,17 @@
         assert writer.journal.is_idle
         assert writer.journal.transactions == 3
 
+    async def test_large_records_go_in_transactions_of_their_own(self, writer):
+        # Guards against a transaction that no call's timeout is enough for on
+        # the link of a small instance: nothing would be stored any more.
+        for n in range(6):
+            writer.journal.write(f"k{n}", lambda: b"v" * 30_000)
+        writer.journal.write("huge", lambda: b"v" * 200_000)
+        await writer.clock.advance(0.1)
+        assert writer.journal.is_idle
+        assert writer.journal.transactions == 4
+        assert await writer.value("huge") == b"v" * 200_000
+
     async def test_a_record_is_written_as_it_is_then(self, writer):
         state = {"value": b"old"}
         writer.journal.write("k", lambda: state["value"])
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -16,6 +16,8 @@
 # Idle connections are given up before the server closes them.
 _IDLE_S = 30.0
 _MAX_IDLE = 16
+# Longest time in seconds that a long answer may take to arrive.
+LONGEST_ANSWER_S = 20.0
 
 
 class HttpClientError(exceptions.MagnoliagladeError):
@@ -96,6 +98,7 @@
         content_type: str = "application/msgpack",
         timeout_s: float | None = None,
         may_send: Callable[[], bool] | None = None,
+        is_long: bool = False,
     ) -> Reply:
         """Sends one request and returns the whole answer.
 
@@ -109,6 +112,8 @@
             timeout_s: overrides the client's timeout.
             may_send: asked when the connection stands, in the same step in
                 which the request is written.
+            is_long: the answer may take long to arrive; the timeout then
+                applies to the time without any part of it.
 
         Raises:
             NotSentError: no connection could be made.
@@ -119,14 +124,19 @@
         if body is not None:
             names["content-type"] = content_type
         connection: _connection.ClientConnection | None = None
+        wait_s = timeout_s or self.timeout_s
         try:
-            async with asyncio.timeout(timeout_s or self.timeout_s):
+            async with asyncio.timeout(wait_s) as timeout:
                 connection = await self._connect()
                 if may_send is not None and not may_send():
                     self._keep(connection)
                     raise WithheldError(f"{self.url}{path}")
                 status, content = await connection.exchange(
-                    method, _target(path, query), [*names.items()], body or b""
+                    method,
+                    _target(path, query),
+                    [*names.items()],
+                    body or b"",
+                    on_data=_extension(timeout, wait_s if is_long else 0.0),
                 )
         except WithheldError:
             raise
@@ -158,6 +168,19 @@
             connection.close()
 
 
+def _extension(timeout: asyncio.Timeout, by_s: float) -> Callable[[], None]:
+    """Returns a function that puts a timeout off; for 0 it does nothing."""
+    if not by_s:
+        return lambda: None
+    loop = asyncio.get_running_loop()
+    limit_s = loop.time() + LONGEST_ANSWER_S
+
+    def extend() -> None:
+        timeout.reschedule(min(limit_s, loop.time() + by_s))
+
+    return extend
+
+
 def _translate(
     error: BaseException,
     url: str,
--- a/magnoliaglade/http/_connection.py
+++ b/magnoliaglade/http/_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from urllib import parse
 
 import h11
@@ -53,9 +54,17 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        on_data: Callable[[], None] = lambda: None,
     ) -> tuple[int, bytes]:
         """Returns status and body of the answer.
 
+        Args:
+            method: method of the request.
+            target: path and query.
+            headers: names and values.
+            body: body of the request.
+            on_data: called whenever a part of the answer has arrived.
+
         Raises:
             InvalidRequestError: the request cannot be encoded.
             ConnectionBrokenError: no whole answer came.
@@ -66,7 +75,7 @@
             raise InvalidRequestError(repr(error)) from error
         try:
             self.writer.write(data)
-            status, content = await self._read_answer()
+            status, content = await self._read_answer(on_data)
             if h11.DONE is self._h11.our_state is self._h11.their_state:
                 self._h11.start_next_cycle()
         except (h11.ProtocolError, OSError) as error:
@@ -89,13 +98,16 @@
         events.append(h11.EndOfMessage())
         return b"".join(self._h11.send(e) or b"" for e in events)
 
-    async def _read_answer(self) -> tuple[int, bytes]:
+    async def _read_answer(
+        self, on_data: Callable[[], None]
+    ) -> tuple[int, bytes]:
         status = 0
         content = bytearray()
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
                 data = await self.reader.read(_READ_BYTES)
+                on_data()
                 self._h11.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
--- a/magnoliaglade/http/tests/test_http.py
+++ b/magnoliaglade/http/tests/test_http.py
@@ -64,3 +64,68 @@
         assert reply.status == 413
         await client.stop()
         await server.stop()
+
+
+class TrickleServer:
+    """Answers with parts of a body; each is sent when the test says so."""
+
+    def __init__(self, *, parts):
+        self.parts = parts
+        self.may_send = asyncio.Semaphore(0)
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return http.HttpClient(url=f"http://127.0.0.1:{port}", timeout_s=1.0)
+
+    async def _answer(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        size = sum(len(p) for p in self.parts)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size)
+        for part in self.parts:
+            await self.may_send.acquire()
+            writer.write(part)
+
+    async def stop(self):
+        self.server.close()
+
+
+class TestLongAnswers:
+    """The timeout of a long answer applies to the silence within it.
+
+    Guards against a successor that never reads what it takes over, because the
+    whole answer takes longer than a call on the link of a small instance.
+    """
+
+    parts = (b"a" * 10, b"b" * 10, b"c" * 10)
+
+    @pytest.mark.parametrize("is_long", [True, False])
+    async def test_parts_extend_the_timeout(self, is_long):
+        server = TrickleServer(parts=self.parts)
+        client = await server.start()
+        loop = asyncio.get_running_loop()
+        call = asyncio.ensure_future(
+            client.call("GET", "/x", is_long=is_long, timeout_s=1.0)
+        )
+        for _ in self.parts:
+            # Each part comes within the timeout, all of them do not.
+            deadline_s = loop.time() + 0.5
+            while loop.time() < deadline_s:
+                await asyncio.sleep(0.01)
+            server.may_send.release()
+        if is_long:
+            assert (await call).body == b"".join(self.parts)
+        else:
+            with pytest.raises(http.NoAnswerError):
+                await call
+        await client.stop()
+        await server.stop()
+
+    async def test_silence_ends_a_long_answer(self):
+        server = TrickleServer(parts=self.parts)
+        client = await server.start()
+        server.may_send.release()
+        with pytest.raises(http.NoAnswerError):
+            await client.call("GET", "/x", is_long=True)
+        await client.stop()
+        await server.stop()
--- a/magnoliaglade/platform/_store.py
+++ b/magnoliaglade/platform/_store.py
@@ -68,7 +68,10 @@
         query: dict[str, Any] = {"prefix": prefix}
         first_revision: int | None = None
         while True:
-            _, reply = await self._call("GET", "/api/kv-range", query=query)
+            # A page of a megabyte takes seconds on a small instance's link.
+            _, reply = await self._call(
+                "GET", "/api/kv-range", query=query, is_long=True
+            )
             page, revision, is_cut = _decode(_page, reply)
             entries.extend(page)
             # Pages are no snapshot; changes after the first are watched for.
@@ -164,6 +167,7 @@
         query: dict[str, Any] | None = None,
         body: dict[str, Any] | None = None,
         timeout_s: float | None = None,
+        is_long: bool = False,
     ) -> tuple[int, Any]:
         self.calls += 1
         try:
@@ -174,6 +178,7 @@
                 body=orjson.dumps(body) if body is not None else None,
                 content_type="application/json",
                 timeout_s=timeout_s,
+                is_long=is_long,
             )
         except http.NotSentError as error:
             raise store.StoreUnavailableError(str(error)) from error
