Count work that is thrown away by cause; one log line a decision

Change: each stop carries its cause; ends of a job that come together are one line with outcome, cause, core-seconds thrown away and their runs; all victims of a beneficiary are one line, with whether it has a guarantee. Stops have a line only if a worker did not take them. The counter wasted_core_seconds has a label for the cause.

--- a/magnoliaglade/cli/_explain.py
+++ b/magnoliaglade/cli/_explain.py
@@ -78,6 +78,8 @@
 
 
 def _is_about(line: dict[str, Any], job: str) -> bool:
+    if job in line.get("jobs", ()):
+        return True
     task = str(line.get("task", ""))
     named = (line.get("job"), line.get("beneficiary"))
     return job in named or task.partition(".")[0] == job
--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -26,11 +26,13 @@
 from magnoliaglade.coordinator._run_watch import RunWatch
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
+from magnoliaglade.coordinator._waste import WasteLog
 from magnoliaglade.fleet import ListedWorker, WorkerReport
 from magnoliaglade.jobs import (
     AttemptState,
     JobProgress,
     RunOutcome,
+    StopCause,
     TaskKey,
     keys,
 )
@@ -73,6 +75,7 @@
         timings: bounds of the deployment.
         planner: makes plans.
         observe_plan: called with the seconds that each plan took.
+        observe_waste: called with cause and core-seconds of lost work.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         timings: Timings,
         planner: placement.Planner,
         observe_plan: Callable[[float], None] = lambda _: None,
+        observe_waste: Callable[[str, float], None] = lambda *_: None,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -103,6 +107,8 @@
         self.timings = timings
         self.planner = planner
         self.observe_plan = observe_plan
+        self.observe_waste = observe_waste
+        self._waste = WasteLog(observe_waste=observe_waste)
         self.table = JobTable()
         self.trust = placement.TrustEstimator()
         self.links: dict[WorkerId, WorkerLink] = {}
@@ -362,7 +368,7 @@
 
     def _stop_all(self, progress: JobProgress) -> None:
         for key, attempt in list(progress.attempts()):
-            self.sender.send_stop(progress, key, attempt)
+            self.sender.send_stop(progress, key, attempt, StopCause.JOB_ENDED)
 
     def _write(self, progress: JobProgress) -> None:
         self.journal.write(
@@ -377,14 +383,7 @@
         attempt = self.table.end(progress, key, run, how)
         if attempt is None:
             return
-        observability.log_event(
-            "end",
-            task=progress.job.task_name(key),
-            run=run,
-            worker=attempt.worker,
-            outcome=how.value,
-            state=progress.state.value,
-        )
+        self._waste.note(progress, key, attempt, how, wall_s=self.clock.time())
         if progress.state.is_final and not was_final:
             self._finish(progress)
             # Members of a complete gang end by themselves.
@@ -415,7 +414,10 @@
             is_member = attempt.run == run
             if is_member and attempt.state is not AttemptState.STOPPING:
                 self.sender.send_stop(
-                    progress, TaskKey(*step_key, index), attempt
+                    progress,
+                    TaskKey(*step_key, index),
+                    attempt,
+                    StopCause.GANG,
                 )
 
     # The end of a term.
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -15,6 +15,7 @@
     JobProgress,
     RunOutcome,
     StepKey,
+    StopCause,
     TaskKey,
 )
 from magnoliaglade.types import Epoch, WorkerId
@@ -83,9 +84,15 @@
         self._spawn(self._start(progress, key, attempt, may_send))
 
     def send_stop(
-        self, progress: JobProgress, key: TaskKey, attempt: Attempt
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        cause: StopCause,
     ) -> None:
         """Orders a run to stop until the worker has answered."""
+        if attempt.stop_cause is None:
+            attempt.stop_cause = cause
         if attempt.state is AttemptState.PLANNED:
             self.on_end(progress, key, attempt.run, RunOutcome.STOPPED)
             return
@@ -97,7 +104,11 @@
             self._spawn(self._stop(progress, key, attempt, mark))
 
     def stop_unit(
-        self, progress: JobProgress, key: StepKey, index: int | None
+        self,
+        progress: JobProgress,
+        key: StepKey,
+        index: int | None,
+        cause: StopCause,
     ) -> None:
         """Orders one run of a step to stop, or all if `index` is None."""
         step = progress.steps.get(key)
@@ -105,7 +116,7 @@
             return
         for number, attempt in list(step.attempts()):
             if index is None or number == index:
-                self.send_stop(progress, TaskKey(*key, number), attempt)
+                self.send_stop(progress, TaskKey(*key, number), attempt, cause)
 
     def stop_stray(self, link: WorkerLink, *, task: str, run: int) -> None:
         """Orders a run to stop that nobody expects."""
@@ -274,13 +285,15 @@
                 outcome=repr(error),
             )
             return False
-        observability.log_event(
-            "stop",
-            task=task,
-            run=run,
-            worker=link.worker,
-            outcome=reply.outcome.value,
-        )
+        if reply.outcome is not OrderOutcome.DONE:
+            # The decision to stop and the end that follows have their lines.
+            observability.log_event(
+                "stop",
+                task=task,
+                run=run,
+                worker=link.worker,
+                outcome=reply.outcome.value,
+            )
         if reply.outcome is OrderOutcome.FENCED:
             self.on_fenced(link)
             return False
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, observability, placement
@@ -14,7 +14,7 @@
 from magnoliaglade.coordinator._run_watch import RunWatch
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
 from magnoliaglade.coordinator._table import JobTable
-from magnoliaglade.jobs import JobProgress, TaskKey
+from magnoliaglade.jobs import JobProgress, StopCause, TaskKey
 from magnoliaglade.types import WorkerId
 
 # Longest time between two plans in seconds, for work that falls due.
@@ -126,8 +126,7 @@
         plan = self.planner.plan(snapshot)
         if not plan.is_complete:
             self.wake.set()
-        for preemption in plan.preemptions:
-            self._preempt(preemption)
+        self._preempt(plan.preemptions)
         begun = [
             item for start in plan.starts for item in self._begin(start, wall_s)
         ]
@@ -200,15 +199,29 @@
             and attempt.state is not jobs.AttemptState.STOPPING
         )
 
-    def _preempt(self, preemption: placement.Preemption) -> None:
-        progress = self.table.jobs[preemption.victim.job]
-        observability.log_event(
-            "preemption",
-            job=preemption.victim.job,
-            step=list(preemption.victim.step),
-            index=preemption.index,
-            beneficiary=preemption.beneficiary.job,
-        )
-        self.sender.stop_unit(
-            progress, preemption.victim.step, preemption.index
-        )
+    def _preempt(self, preemptions: Iterable[placement.Preemption]) -> None:
+        """Stops all victims; one line tells of those of a beneficiary."""
+        by_unit: dict[placement.UnitId, list[placement.Preemption]] = {}
+        for preemption in preemptions:
+            by_unit.setdefault(preemption.beneficiary, []).append(preemption)
+        for beneficiary, found in by_unit.items():
+            observability.log_event(
+                "preemption",
+                beneficiary=beneficiary.job,
+                guaranteed=found[0].is_guaranteed,
+                jobs=sorted({p.victim.job for p in found}),
+                victims=[
+                    [p.victim.job, *p.victim.step, p.index] for p in found
+                ],
+            )
+        for preemption in preemptions:
+            victim = preemption.victim
+            cause = StopCause.PRIORITY
+            if preemption.is_guaranteed:
+                cause = StopCause.GUARANTEE
+            self.sender.stop_unit(
+                self.table.jobs[victim.job],
+                victim.step,
+                preemption.index,
+                cause,
+            )
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -10,7 +10,13 @@
 from magnoliaglade.coordinator._orders import OrderSender
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.fleet import WorkerReport
-from magnoliaglade.jobs import AttemptState, JobProgress, RunOutcome, TaskKey
+from magnoliaglade.jobs import (
+    AttemptState,
+    JobProgress,
+    RunOutcome,
+    StopCause,
+    TaskKey,
+)
 from magnoliaglade.placement import Evidence, Observation
 from magnoliaglade.types import WorkerId
 
@@ -129,7 +135,7 @@
         attempt = task.attempt if task else None
         if attempt is None or attempt.answered_by_s > requested_at_s:
             return
-        self.sender.send_stop(progress, key, attempt)
+        self.sender.send_stop(progress, key, attempt, StopCause.UNSETTLED)
 
 
 def _expected(
--- a/magnoliaglade/coordinator/_run_watch.py
+++ b/magnoliaglade/coordinator/_run_watch.py
@@ -14,6 +14,7 @@
     StepKey,
     StepProgress,
     StepSpec,
+    StopCause,
 )
 from magnoliaglade.types import WorkerId
 
@@ -80,12 +81,14 @@
             runs = [attempt for _, attempt in group]
             stalled = _watchdog.stalled_runs(spec, runs)
             if stalled:
-                self._give_up(progress, key, index, stalled, "stalled")
+                self._give_up(progress, key, index, stalled, StopCause.STALLED)
                 self._suspect(progress, stalled, runs)
                 continue
             leaving = [a for a in runs if self._must_leave(spec, a, now_s)]
             if leaving:
-                self._give_up(progress, key, index, leaving, "worker leaves")
+                self._give_up(
+                    progress, key, index, leaving, StopCause.WORKER_LEAVES
+                )
 
     def _must_leave(
         self, spec: StepSpec, attempt: Attempt, now_s: float
@@ -117,12 +120,12 @@
         key: StepKey,
         index: int | None,
         runs: list[Attempt],
-        reason: str,
+        cause: StopCause,
     ) -> None:
         observability.log_event(
             "run",
             state="given up",
-            reason=reason,
+            reason=cause.value,
             job=progress.job.job,
             step=list(key),
             index=index,
@@ -130,4 +133,4 @@
                 [a.worker, a.run, a.percent, round(a.still_s, 2)] for a in runs
             ],
         )
-        self.sender.stop_unit(progress, key, index)
+        self.sender.stop_unit(progress, key, index, cause)
--- /dev/null
+++ b/magnoliaglade/coordinator/_waste.py
@@ -0,0 +1,95 @@
+"""Work that is thrown away, by cause, and the log lines on ends of runs."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import NamedTuple
+
+from magnoliaglade import observability, placement
+from magnoliaglade.jobs import (
+    Attempt,
+    JobProgress,
+    RunOutcome,
+    StepSpec,
+    StopCause,
+    TaskKey,
+)
+from magnoliaglade.types import JobId
+
+
+def wasted_core_s(
+    spec: StepSpec, outcome: RunOutcome, elapsed_s: float
+) -> float:
+    """Returns the work of a run that has to be done again, in core-seconds.
+
+    Args:
+        spec: the step.
+        outcome: how the run ended.
+        elapsed_s: time since its start.
+    """
+    if outcome is RunOutcome.DONE or spec.is_long_running:
+        return 0.0
+    if outcome is RunOutcome.STOPPED and spec.is_checkpointable:
+        # A stop saves a checkpoint.
+        return 0.0
+    return placement.core_seconds(spec.demand, max(0.0, elapsed_s))
+
+
+class _Group(NamedTuple):
+    """Ends that share a log line."""
+
+    job: JobId
+    outcome: RunOutcome
+    cause: StopCause | None
+
+
+class WasteLog:
+    """Counts work thrown away and writes one line for ends that come together.
+
+    Attributes:
+        observe_waste: called with cause and core-seconds of each lost run.
+    """
+
+    def __init__(self, *, observe_waste: Callable[[str, float], None]) -> None:
+        self.observe_waste = observe_waste
+        self._groups: dict[_Group, list[list[object]]] = {}
+        self._waste: collections.Counter[_Group] = collections.Counter()
+
+    def note(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        outcome: RunOutcome,
+        *,
+        wall_s: float,
+    ) -> None:
+        """Takes the end of a run into account."""
+        elapsed_s = wall_s - attempt.started_at_s
+        if not attempt.started_at_s or attempt.settled_at_s is None:
+            # Its start was not seen by this coordinator, or never confirmed.
+            elapsed_s = 0.0
+        spec = progress.job.spec.steps[key.step]
+        wasted = wasted_core_s(spec, outcome, elapsed_s)
+        group = _Group(progress.job.job, outcome, attempt.stop_cause)
+        if not self._groups:
+            asyncio.get_running_loop().call_soon(self._write)
+        row = [*key, attempt.run, attempt.worker]
+        self._groups.setdefault(group, []).append(row)
+        self._waste[group] += wasted
+        if wasted:
+            cause = attempt.stop_cause or outcome
+            self.observe_waste(cause.value, wasted)
+
+    def _write(self) -> None:
+        groups, self._groups = self._groups, {}
+        waste, self._waste = self._waste, collections.Counter()
+        for group, rows in groups.items():
+            observability.log_event(
+                "end",
+                job=group.job,
+                outcome=group.outcome.value,
+                cause=group.cause.value if group.cause else None,
+                wasted_core_s=round(waste[group], 1),
+                runs=rows,
+            )
--- a/magnoliaglade/coordinator/tests/test_orders.py
+++ b/magnoliaglade/coordinator/tests/test_orders.py
@@ -1,7 +1,7 @@
 import pytest
 
 from magnoliaglade.coordinator.tests import harness
-from magnoliaglade.jobs import StepKey
+from magnoliaglade.jobs import StepKey, StopCause
 
 
 @pytest.fixture
@@ -28,7 +28,7 @@
         )
         attempt = progress.task(key).attempt
         current.sender.send_start(progress, key, attempt)
-        current.sender.send_stop(progress, key, attempt)
+        current.sender.send_stop(progress, key, attempt, StopCause.PRIORITY)
         was_free = progress.task(key).attempt is None
         await deployment.clock.advance(0.02)
         is_running = bool(deployment.engines["w0"].running)
--- /dev/null
+++ b/magnoliaglade/coordinator/tests/test_waste.py
@@ -0,0 +1,48 @@
+import pytest
+
+from magnoliaglade.coordinator import _waste
+from magnoliaglade.coordinator.tests import harness
+from magnoliaglade.jobs import JobState, RunOutcome
+
+SPEC = harness.make_step(accelerators=1, cores_m=2_000)
+# Two cores, and eight for the accelerator.
+CORES = 10.0
+
+
+class TestWaste:
+    def test_a_stopped_run_is_lost(self):
+        wasted = _waste.wasted_core_s(SPEC, RunOutcome.STOPPED, 3.0)
+        assert wasted == pytest.approx(3.0 * CORES)
+
+    def test_what_is_done_or_saved_is_not(self):
+        saving = harness.make_step(is_checkpointable=True)
+        lasting = harness.make_step(is_long_running=True)
+        assert not _waste.wasted_core_s(SPEC, RunOutcome.DONE, 3.0)
+        assert not _waste.wasted_core_s(saving, RunOutcome.STOPPED, 3.0)
+        assert not _waste.wasted_core_s(lasting, RunOutcome.LAPSED, 3.0)
+
+
+class TestCauses:
+    async def test_preemption_is_counted_by_its_reason(self):
+        deployment = harness.Deployment(duration_s=30.0)
+        current = await deployment.elect()
+        counted = []
+        current._waste.observe_waste = lambda *found: counted.append(found)
+        for i in range(4):
+            await deployment.submit(
+                harness.make_job(f"low{i}", harness.make_step(accelerators=8))
+            )
+        await deployment.clock.advance(2.0)
+        urgent = harness.make_job(
+            "urgent", harness.make_step(accelerators=8), priority=0
+        )
+        await deployment.submit(urgent)
+        await deployment.clock.advance(2.0)
+        (found,) = counted
+        assert found[0] == "guarantee"
+        assert found[1] > 0.0
+        await deployment.cancel(urgent.job)
+        await deployment.clock.advance(1.0)
+        assert counted[1][0] == "job ended"
+        assert await deployment.state(urgent.job) is JobState.CANCELLED
+        await deployment.stop()
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -186,6 +186,7 @@
             ),
             planner=placement.Planner(),
             observe_plan=self.metrics.plan_duration.observe,
+            observe_waste=self._observe_waste,
         )
         try:
             await self._coordinator.run()
@@ -225,6 +226,9 @@
         self.metrics.calls.labels(method, str(status)).inc()
         self.metrics.call_latency.labels(method).observe(duration_s)
 
+    def _observe_waste(self, cause: str, core_s: float) -> None:
+        self.metrics.wasted_work.labels(cause).inc(core_s)
+
     def _internal_application(self) -> blacksheep.Application:
         async def metrics(_: blacksheep.Request) -> blacksheep.Response:
             self._refresh_metrics()
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -32,6 +32,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.wasted_work = prometheus_client.Counter(
+            "magnoliaglade_wasted_core_seconds",
+            "Work that has to be done again, by cause.",
+            ["cause"],
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "magnoliaglade_store_calls",
             "Calls to the key-value service since the start.",
--- a/magnoliaglade/jobs/__init__.py
+++ b/magnoliaglade/jobs/__init__.py
@@ -17,6 +17,7 @@
     JobSummary,
     RunOutcome,
     StepProgress,
+    StopCause,
     TaskProgress,
 )
 from magnoliaglade.jobs._records import (
@@ -42,6 +43,7 @@
     "StepKey",
     "StepProgress",
     "StepSpec",
+    "StopCause",
     "TaskKey",
     "TaskProgress",
     "decode_job",
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -36,6 +36,22 @@
     STOPPING = "stopping"
 
 
+class StopCause(enum.Enum):
+    """Why a run was ordered to stop.
+
+    GUARANTEE and PRIORITY stand for preemption, with and without a guarantee
+    of the account that gains.
+    """
+
+    GUARANTEE = "guarantee"
+    PRIORITY = "priority"
+    STALLED = "stalled"
+    WORKER_LEAVES = "worker leaves"
+    GANG = "gang"
+    JOB_ENDED = "job ended"
+    UNSETTLED = "unsettled"
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Attempt:
     """A run that is, or may be, on a worker.
@@ -54,6 +70,7 @@
             0 before the first in this term.
         still_s: time in seconds, by the worker's clock, for which reports in
             close succession have shown no progress.
+        stop_cause: why it was first ordered to stop, if it was.
     """
 
     run: int
@@ -66,6 +83,7 @@
     percent: float = 0.0
     reported_ms: int = 0
     still_s: float = 0.0
+    stop_cause: StopCause | None = None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -144,11 +144,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Preemption:
-    """A run, or all runs of a gang, to stop in favour of another unit."""
+    """A run, or all runs of a gang, to stop in favour of another unit.
+
+    Attributes:
+        victim: step run of what is stopped.
+        index: index of the task; None stands for the whole gang.
+        beneficiary: what gets the room.
+        is_guaranteed: it is within its account's guarantee.
+    """
 
     victim: UnitId
     index: int | None
     beneficiary: UnitId
+    is_guaranteed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -301,6 +301,7 @@
                     victim=victim.unit,
                     index=victim.index,
                     beneficiary=demand.unit,
+                    is_guaranteed=demand.is_guaranteed,
                 )
             )
 
