Claim cleared room for its demand; bound the loss by what can be earned

What became free for one was given to whatever came first in the next plan, often the same tasks. Guaranteed gangs cleared a rack at any price, long gangs included.

Change: a plan returns claims, which the next plan keeps: cleared room starts its own demand, waits for the rest of its stops, or ends after 3 s. The work thrown away for a demand without a guarantee, over all plans, stays below its own work; below a fifth of that if it will be late by now, counting that it runs longer off its rack; a hopeless one stops nothing. For a guaranteed gang the loss on one rack is weighed against that on several.

A pool in virtual time (standins.pool) drives the planner without processes, for tests that replay a load and for comparing policies.

--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, observability, placement
@@ -76,6 +76,8 @@
         self.on_planned = on_planned
         self.on_lost = on_lost
         self.wake = asyncio.Event()
+        self._claims: tuple[placement.Claim, ...] = ()
+        self._sacrificed: dict[placement.UnitId, float] = {}
         self._launches: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -119,11 +121,17 @@
             return
         wall_s = self.clock.time()
         snapshot = self.snapshots.build(
-            self.links.values(), wall_s=wall_s, now_s=self.clock.now()
+            self.links.values(),
+            wall_s=wall_s,
+            now_s=self.clock.now(),
+            claims=self._claims,
+            sacrificed=self._sacrificed,
         )
         if not snapshot.demands:
             return
         plan = self.planner.plan(snapshot)
+        self._claims = plan.claims
+        self._add_sacrificed(plan.sacrificed)
         if not plan.is_complete:
             self.wake.set()
         self._preempt(plan.preemptions)
@@ -137,6 +145,18 @@
             self._launches.add(launch)
             launch.add_done_callback(self._launches.discard)
 
+    def _add_sacrificed(
+        self, sacrificed: Mapping[placement.UnitId, float]
+    ) -> None:
+        """Adds what a plan throws away, and forgets jobs that have ended."""
+        if not sacrificed:
+            return
+        for unit, loss in sacrificed.items():
+            self._sacrificed[unit] = self._sacrificed.get(unit, 0.0) + loss
+        for unit in list(self._sacrificed):
+            if unit.job not in self.table.active:
+                del self._sacrificed[unit]
+
     def _begin(
         self, start: placement.Start, wall_s: float
     ) -> list[tuple[JobProgress, TaskKey, jobs.Attempt]]:
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -1,6 +1,6 @@
 """Builds the snapshot that placement decides on from the current state."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from magnoliaglade import observability, supervision
 from magnoliaglade.coordinator._link import WorkerLink
@@ -14,6 +14,7 @@
 )
 from magnoliaglade.placement import (
     Candidate,
+    Claim,
     Demand,
     Snapshot,
     TrustEstimator,
@@ -26,6 +27,7 @@
 # An occurrence that ends within this many times its objective is still worth
 # something.
 LATE_FACTOR = 3.0
+_NOTHING: Mapping[UnitId, float] = {}
 
 
 class SnapshotBuilder:
@@ -56,9 +58,23 @@
         self._failed: set[JobId] = set()
 
     def build(
-        self, links: Iterable[WorkerLink], *, wall_s: float, now_s: float
+        self,
+        links: Iterable[WorkerLink],
+        *,
+        wall_s: float,
+        now_s: float,
+        claims: tuple[Claim, ...] = (),
+        sacrificed: Mapping[UnitId, float] = _NOTHING,
     ) -> Snapshot:
-        """Returns the snapshot; its times are wall times."""
+        """Returns the snapshot; its times are wall times.
+
+        Args:
+            links: links to all workers.
+            wall_s: wall time.
+            now_s: monotonic time.
+            claims: claims that the last plan left.
+            sacrificed: work thrown away so far for a unit.
+        """
         links = list(links)
         protected = self._protected_jobs()
         uses: list[Use] = []
@@ -73,6 +89,8 @@
             candidates=tuple(self._candidate(x, now_s) for x in links),
             uses=tuple(uses),
             demands=tuple(demands),
+            claims=claims,
+            sacrificed=sacrificed,
         )
 
     def _candidate(self, link: WorkerLink, now_s: float) -> Candidate:
--- a/magnoliaglade/coordinator/tests/test_planning.py
+++ b/magnoliaglade/coordinator/tests/test_planning.py
@@ -24,8 +24,8 @@
 
 
 class FixedSnapshots:
-    def build(self, links, *, wall_s, now_s):
-        del links, now_s
+    def build(self, links, *, wall_s, now_s, claims, sacrificed):
+        del links, now_s, claims, sacrificed
         return placement.Snapshot(
             now_s=wall_s, candidates=(), uses=(), demands=("waiting",)
         )
--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from magnoliaglade.placement._model import (
     Candidate,
+    Claim,
     Demand,
     Plan,
     Preemption,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "Candidate",
+    "Claim",
     "Demand",
     "Evidence",
     "Observation",
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from magnoliaglade.jobs import Resources, StepKey
@@ -123,14 +124,40 @@
     hopeless_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Claim:
+    """Room that was cleared for a unit and waits for stops.
+
+    Attributes:
+        unit: the step run.
+        placement: pairs of index and worker.
+        since_s: when the stops were ordered.
+    """
+
+    unit: UnitId
+    placement: tuple[tuple[int, WorkerId], ...]
+    since_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Snapshot:
-    """Everything that a plan depends on."""
+    """Everything that a plan depends on.
+
+    Attributes:
+        now_s: time of the plan.
+        candidates: workers.
+        uses: runs on them.
+        demands: what waits.
+        claims: claims that the last plan left.
+        sacrificed: work thrown away so far for a unit, in core-seconds.
+    """
 
     now_s: float
     candidates: tuple[Candidate, ...]
     uses: tuple[Use, ...]
     demands: tuple[Demand, ...]
+    claims: tuple[Claim, ...] = ()
+    sacrificed: Mapping[UnitId, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -166,10 +193,14 @@
     Attributes:
         starts: tasks to start.
         preemptions: runs to stop.
+        claims: claims to hand to the next plan.
+        sacrificed: work thrown away by this plan for a unit, in core-seconds.
         is_complete: every demand was considered to the end; otherwise another
             plan should be made soon.
     """
 
     starts: tuple[Start, ...] = ()
     preemptions: tuple[Preemption, ...] = ()
+    claims: tuple[Claim, ...] = ()
+    sacrificed: Mapping[UnitId, float] = dataclasses.field(default_factory=dict)
     is_complete: bool = True
--- /dev/null
+++ b/magnoliaglade/placement/tests/test_claims.py
@@ -0,0 +1,230 @@
+"""Room that is cleared for urgent gangs, and what that may cost."""
+
+import dataclasses
+
+import pytest
+
+from magnoliaglade import placement
+from magnoliaglade.placement.tests import patterns
+from magnoliaglade.standins import pool
+
+STUDIO = "studio"
+
+
+def plan(candidates, **fields):
+    snapshot = dataclasses.replace(patterns.snapshot(candidates), **fields)
+    return placement.Planner().plan(snapshot)
+
+
+def claim(name, *workers, age_s=0.2):
+    return placement.Claim(
+        unit=patterns.unit(name),
+        placement=tuple((i, w) for i, w in enumerate(workers)),
+        since_s=patterns.NOW_S - age_s,
+    )
+
+
+class TestClaims:
+    pool = patterns.racks(1, size=2)
+    urgent = patterns.demand("urgent", 2, 8, priority=0, estimate_s=30.0)
+    other = patterns.demand("other", 1, 8, priority=0, latest_start_s=0.0)
+    full = tuple(
+        patterns.use(f"low{w}", w, 8, loss_s=0.1) for w in ("w00", "w01")
+    )
+
+    def test_cleared_room_is_claimed(self):
+        found = plan(self.pool, uses=self.full, demands=(self.urgent,))
+        (made,) = found.claims
+        assert {w for _, w in made.placement} == {"w00", "w01"}
+        assert found.sacrificed[self.urgent.unit] > 0
+
+    def test_what_has_become_free_waits_for_the_rest(self):
+        # Guards against room that is cleared for one gang and given, part by
+        # part, to whatever comes first.
+        stopping = patterns.use("low", "w01", 8, is_stopping=True)
+        found = plan(
+            self.pool,
+            uses=(stopping,),
+            demands=(self.other, self.urgent),
+            claims=(claim("urgent", "w00", "w01"),),
+        )
+        assert found.starts == ()
+        assert found.preemptions == ()
+        assert [c.unit for c in found.claims] == [self.urgent.unit]
+
+    def test_a_claimed_gang_starts_when_all_is_free(self):
+        found = plan(
+            self.pool,
+            demands=(self.other, self.urgent),
+            claims=(claim("urgent", "w00", "w01"),),
+        )
+        assert set(patterns.workers_of(found, "urgent")) == {"w00", "w01"}
+        assert found.claims == ()
+
+    def test_tasks_start_one_by_one(self):
+        tasks = patterns.demand("tasks", 2, 8, priority=0, is_gang=False)
+        stopping = patterns.use("low", "w01", 8, is_stopping=True)
+        found = plan(
+            self.pool,
+            uses=(stopping,),
+            demands=(tasks,),
+            claims=(claim("tasks", "w00", "w01"),),
+        )
+        assert patterns.workers_of(found, "tasks") == ["w00"]
+        assert [c.placement for c in found.claims] == [((1, "w01"),)]
+
+    @pytest.mark.parametrize(
+        "kept",
+        [
+            claim("urgent", "w00", "w01", age_s=60.0),
+            claim("urgent", "w00", "gone"),
+            claim("urgent", "w00"),
+        ],
+    )
+    def test_a_claim_that_cannot_be_used_is_dropped(self, kept):
+        found = plan(
+            self.pool, demands=(self.other, self.urgent), claims=(kept,)
+        )
+        assert found.claims == ()
+
+    def test_a_guarantee_goes_before_a_claim(self):
+        # Guards against a guarantee that waits for work without one.
+        guaranteed = patterns.demand(
+            "sure", 2, 8, priority=0, is_guaranteed=True
+        )
+        found = plan(
+            self.pool,
+            demands=(self.urgent, guaranteed),
+            claims=(claim("urgent", "w00", "w01"),),
+        )
+        assert set(patterns.workers_of(found, "sure")) == {"w00", "w01"}
+
+
+class TestLossLimits:
+    """Work without a guarantee throws away no more than it can still earn."""
+
+    pool = patterns.racks(1, size=1)
+    full = (patterns.use("low", "w00", 8, loss_s=4.0),)
+
+    def preempts(self, *, sacrificed=0.0, **fields):
+        urgent = patterns.demand(
+            "urgent", 1, 8, priority=0, estimate_s=8.0, **fields
+        )
+        found = plan(
+            self.pool,
+            uses=self.full,
+            demands=(urgent,),
+            sacrificed={urgent.unit: sacrificed},
+        )
+        return bool(found.preemptions)
+
+    def test_it_may_take_as_much_as_it_does(self):
+        assert self.preempts()
+
+    def test_what_was_thrown_away_for_it_counts(self):
+        # Guards against a gang that stops hundreds of tasks, again and again,
+        # without ever starting.
+        assert not self.preempts(sacrificed=400.0)
+
+    def test_less_for_what_will_be_late(self):
+        assert not self.preempts(latest_start_s=patterns.NOW_S - 1.0)
+
+    def test_nothing_for_what_is_hopeless(self):
+        assert not self.preempts(
+            latest_start_s=patterns.NOW_S - 9.0,
+            hopeless_at_s=patterns.NOW_S - 1.0,
+        )
+
+    def test_a_guarantee_has_no_limit(self):
+        assert self.preempts(
+            is_guaranteed=True,
+            latest_start_s=patterns.NOW_S - 9.0,
+            hopeless_at_s=patterns.NOW_S - 1.0,
+        )
+
+
+class TestGuaranteedGangs:
+    def test_a_rack_is_not_cleared_at_any_price(self):
+        # Guards against long gangs that are thrown away so that a short one
+        # may keep to a rack: on two racks it stops far less.
+        workers = patterns.racks(2, size=2)
+        long_gangs = [
+            patterns.use(f"long{w[1]}", w, 8, is_gang=True, loss_s=300.0)
+            for w in ("w00", "w10")
+        ]
+        short = [
+            patterns.use(f"short{w}", w, 8, loss_s=0.5) for w in ("w01", "w11")
+        ]
+        urgent = patterns.demand(
+            "sure",
+            2,
+            8,
+            priority=0,
+            is_guaranteed=True,
+            same_rack=True,
+            estimate_s=2.5,
+        )
+        found = plan(workers, uses=(*long_gangs, *short), demands=(urgent,))
+        assert patterns.victims_of(found) == {"shortw01", "shortw11"}
+
+
+class TestBurstReplay:
+    """A burst of urgent gangs with large tasks on a pool full of small ones."""
+
+    def play(self, planner, seed):
+        capacity = patterns.resources(8, cores_m=64_000, memory_mb=262_144)
+        shapes = (
+            pool.LoadShape(
+                name="urgent",
+                per_s=1.2,
+                burst=2.5,
+                burst_at_s=4.0,
+                burst_end_s=14.0,
+                count=5,
+                count_most=16,
+                accelerators=(2, 4, 8, 8),
+                demand=patterns.resources(0, cores_m=7_500),
+                work_s=2.5,
+                share_same_rack=0.8,
+                fields={
+                    "priority": 0,
+                    "is_gang": True,
+                    "stretch": 1.5,
+                    "slack_s": 1.5,
+                    "worth": 4.0,
+                    "late_worth": 0.8,
+                },
+            ),
+            pool.LoadShape(
+                name="batch",
+                per_s=0.4,
+                count=38,
+                count_most=120,
+                accelerators=(1,),
+                demand=patterns.resources(0, cores_m=5_600),
+                work_s=9.5,
+                fields={"priority": 2},
+            ),
+        )
+        load = pool.draw_load(shapes, accounts=4, until_s=25.0, seed=seed)
+        model = pool.PoolModel(
+            planner=planner,
+            workers=pool.make_workers(42, per_rack=12, capacity=capacity),
+        )
+        return model, model.play(load, until_s=60.0)
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_no_urgent_gang_throws_away_more_than_its_work(self, seed):
+        model, _ = self.play(placement.Planner(), seed)
+        lost = model.sacrificed
+        for unit, core_s in lost.items():
+            assert core_s <= model.work_of(unit) * 1.0 + 1e-6
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_more_runs_end_than_are_stopped(self, seed):
+        _, outcome = self.play(placement.Planner(), seed)
+        assert outcome.done > outcome.preempted
+
+    def test_the_same_load_gives_the_same_outcome(self):
+        first, second = (self.play(placement.Planner(), 1) for _ in range(2))
+        assert first[1] == second[1]
--- /dev/null
+++ b/magnoliaglade/standins/pool.py
@@ -0,0 +1,432 @@
+"""A pool of workers in virtual time that drives a planner, without processes.
+
+Jobs of one step arrive, the planner decides on snapshots, and runs end, stop or
+are broken after fixed times. It compares policies and replays load patterns in
+tests; there are no failures of workers, messages or stores.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Iterable
+
+from magnoliaglade import placement
+from magnoliaglade.jobs import Resources, StepKey
+from magnoliaglade.placement import Candidate, Demand, Snapshot, UnitId, Use
+from magnoliaglade.types import (
+    AccountId,
+    JobId,
+    RackId,
+    ServiceName,
+    WorkerId,
+    ZoneId,
+)
+
+SERVICE = ServiceName("render")
+# Time from a decision to its effect on a worker, in seconds.
+ORDER_S = 0.02
+# Shortest time between two plans and longest one, in seconds.
+PLAN_S = 0.05
+IDLE_PLAN_S = 0.25
+# A gang or task off its rack runs this many times longer.
+FAR_FACTOR = 3.0
+# An occurrence that ends within this many times its objective is late, and
+# worth nothing afterwards.
+LATE_FACTOR = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoadJob:
+    """A job of one step.
+
+    Attributes:
+        name: id.
+        account: client account.
+        priority: 0 comes first.
+        arrives_at_s: time of submission.
+        count: number of tasks.
+        demand: capacity of each task.
+        work_s: true run time of a task near its data.
+        estimate_s: declared run time.
+        is_gang: the tasks start and end together.
+        same_rack: they run far longer on several racks.
+        is_saving: a stop keeps the progress.
+        stretch: factor on the run time in the objective.
+        slack_s: seconds added to it.
+        worth: value on time.
+        late_worth: value up to three times the objective.
+    """
+
+    name: str
+    account: str
+    priority: int
+    arrives_at_s: float
+    count: int
+    demand: Resources
+    work_s: float
+    estimate_s: float
+    is_gang: bool = False
+    same_rack: bool = False
+    is_saving: bool = False
+    stretch: float = 3.0
+    slack_s: float = 1.0
+    worth: float = 1.0
+    late_worth: float = 0.3
+
+    @property
+    def unit(self) -> UnitId:
+        """The job's only step run."""
+        return UnitId(JobId(self.name), StepKey(0, 0))
+
+    @property
+    def objective_s(self) -> float:
+        """Time from submission by which the job should be complete."""
+        return self.stretch * self.work_s + self.slack_s
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Run:
+    """A task on a worker; `ends_at_s` is infinite while it is stopping."""
+
+    job: LoadJob
+    index: int
+    worker: WorkerId
+    began_at_s: float
+    ends_at_s: float
+    frees_at_s: float = float("inf")
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Outcome:
+    """What became of a load.
+
+    Attributes:
+        earned: value of the jobs that ended.
+        owed: value of all jobs.
+        wasted_core_s: work that was thrown away.
+        preempted: runs that were stopped.
+        done: runs that ended.
+        waited_s: time from submission to start of the whole job, by job.
+        ended_at_s: when jobs were complete.
+    """
+
+    earned: float = 0.0
+    owed: float = 0.0
+    wasted_core_s: float = 0.0
+    preempted: int = 0
+    done: int = 0
+    waited_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    ended_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+def make_workers(
+    count: int, *, per_rack: int, capacity: Resources
+) -> tuple[Candidate, ...]:
+    """Returns sound workers in racks."""
+    return tuple(
+        Candidate(
+            worker=WorkerId(f"w{n:04}"),
+            service=SERVICE,
+            zone=ZoneId("a"),
+            rack=RackId(f"r{n // per_rack}"),
+            labels=frozenset({f"r{n // per_rack}"}),
+            capacity=capacity,
+            is_open=True,
+        )
+        for n in range(count)
+    )
+
+
+class PoolModel:
+    """Plays a load on a pool; the same arguments give the same outcome.
+
+    Attributes:
+        planner: makes the plans.
+        workers: the pool.
+        guarantees: accelerators that accounts can always have for urgent jobs.
+        stop_s: time that a stop takes, in seconds.
+        sacrificed: work thrown away for each unit, in core-seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        planner: placement.Planner,
+        workers: Iterable[Candidate],
+        guarantees: dict[str, int] | None = None,
+        stop_s: float = 0.2,
+    ) -> None:
+        self.planner = planner
+        self.workers = tuple(workers)
+        self.guarantees = guarantees or {}
+        self.stop_s = stop_s
+        self.outcome = Outcome()
+        self.plans: list[tuple[float, placement.Plan]] = []
+        self._racks = {c.worker: c.rack for c in self.workers}
+        self._now_s = 0.0
+        self._waiting: dict[str, set[int]] = {}
+        self._jobs: dict[str, LoadJob] = {}
+        self._all: dict[str, LoadJob] = {}
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._left: dict[str, int] = {}
+        self._claims: tuple[placement.Claim, ...] = ()
+        self.sacrificed: collections.Counter[UnitId] = collections.Counter()
+
+    def play(self, load: Iterable[LoadJob], *, until_s: float) -> Outcome:
+        """Plays a load up to a time in seconds."""
+        order = itertools.count()
+        arrivals = [(j.arrives_at_s, next(order), j) for j in load]
+        heapq.heapify(arrivals)
+        planned_at_s = float("-inf")
+        has_changed = True
+        while self._now_s < until_s:
+            while arrivals and arrivals[0][0] <= self._now_s:
+                self._arrive(heapq.heappop(arrivals)[2])
+                has_changed = True
+            has_changed |= self._finish_due()
+            is_due = self._now_s - planned_at_s >= IDLE_PLAN_S
+            if has_changed or is_due:
+                planned_at_s = self._now_s
+                has_changed = not self._plan()
+            self._now_s += PLAN_S
+        return self.outcome
+
+    def work_of(self, unit: UnitId) -> float:
+        """Returns the declared work of a job that has come, in core-seconds."""
+        job = self._all[str(unit.job)]
+        one = placement.core_seconds(job.demand, job.estimate_s)
+        return one * job.count
+
+    def _arrive(self, job: LoadJob) -> None:
+        self._jobs[job.name] = job
+        self._all[job.name] = job
+        self._waiting[job.name] = set(range(job.count))
+        self._left[job.name] = job.count
+        self.outcome.owed += job.worth
+
+    def _finish_due(self) -> bool:
+        """Ends runs whose time has come; tells whether there were any."""
+        due = [
+            key
+            for key, run in self._runs.items()
+            if min(run.ends_at_s, run.frees_at_s) <= self._now_s
+        ]
+        for key in due:
+            run = self._runs.pop(key)
+            if run.frees_at_s <= self._now_s:
+                self._waiting[run.job.name].add(run.index)
+                continue
+            self.outcome.done += 1
+            self._left[run.job.name] -= 1
+            if not self._left[run.job.name]:
+                self._complete(run.job)
+        return bool(due)
+
+    def _complete(self, job: LoadJob) -> None:
+        took_s = self._now_s - job.arrives_at_s
+        self.outcome.ended_at_s[job.name] = self._now_s
+        if took_s <= job.objective_s:
+            self.outcome.earned += job.worth
+        elif took_s <= LATE_FACTOR * job.objective_s:
+            self.outcome.earned += job.late_worth
+        del self._jobs[job.name]
+
+    def _plan(self) -> bool:
+        """Makes and carries out a plan; tells whether it was complete."""
+        plan = self.planner.plan(self._snapshot())
+        if plan.starts or plan.preemptions:
+            self.plans.append((self._now_s, plan))
+        self._claims = plan.claims
+        self.sacrificed.update(plan.sacrificed)
+        for preemption in plan.preemptions:
+            self._stop(preemption)
+        for start in plan.starts:
+            self._start(start)
+        return plan.is_complete
+
+    def _stop(self, preemption: placement.Preemption) -> None:
+        name = str(preemption.victim.job)
+        for (job, index), run in self._runs.items():
+            is_victim = job == name and preemption.index in (None, index)
+            if not is_victim or run.frees_at_s != float("inf"):
+                continue
+            run.frees_at_s = self._now_s + ORDER_S + self.stop_s
+            run.ends_at_s = float("inf")
+            self.outcome.preempted += 1
+            if not run.job.is_saving:
+                lost = placement.core_seconds(
+                    run.job.demand, self._now_s - run.began_at_s
+                )
+                self.outcome.wasted_core_s += lost
+
+    def _start(self, start: placement.Start) -> None:
+        job = self._jobs[str(start.unit.job)]
+        racks = {self._racks[w] for _, w in start.placement}
+        is_far = job.same_rack and len(racks) > 1
+        work_s = job.work_s * (FAR_FACTOR if is_far else 1.0)
+        for index, worker in start.placement:
+            self._waiting[job.name].discard(index)
+            self._runs[job.name, index] = _Run(
+                job=job,
+                index=index,
+                worker=worker,
+                began_at_s=self._now_s,
+                ends_at_s=self._now_s + ORDER_S + work_s,
+            )
+        if not self._waiting[job.name]:
+            waited_s = self._now_s - job.arrives_at_s
+            self.outcome.waited_s.setdefault(job.name, waited_s)
+
+    def _snapshot(self) -> Snapshot:
+        protected = self._protected()
+        demands = [
+            self._demand(self._jobs[name], indexes, protected)
+            for name, indexes in self._waiting.items()
+            if indexes and name in self._jobs
+        ]
+        return Snapshot(
+            now_s=self._now_s,
+            candidates=self.workers,
+            uses=tuple(self._use(r, protected) for r in self._runs.values()),
+            demands=tuple(d for d in demands if d is not None),
+            claims=self._claims,
+            sacrificed=self.sacrificed,
+        )
+
+    def _protected(self) -> set[str]:
+        used: dict[str, int] = {}
+        protected: set[str] = set()
+        for job in self._jobs.values():
+            total = used.get(job.account, 0)
+            total += job.count * job.demand.accelerators
+            is_within = total <= self.guarantees.get(job.account, 0)
+            if job.priority == 0 and is_within:
+                used[job.account] = total
+                protected.add(job.name)
+        return protected
+
+    def _demand(
+        self, job: LoadJob, indexes: set[int], protected: set[str]
+    ) -> Demand | None:
+        if job.is_gang and len(indexes) < job.count:
+            return None
+        due_at_s = job.arrives_at_s + job.objective_s
+        late_at_s = job.arrives_at_s + LATE_FACTOR * job.objective_s
+        return Demand(
+            unit=job.unit,
+            service=SERVICE,
+            indexes=tuple(sorted(indexes)),
+            resources=job.demand,
+            is_gang=job.is_gang,
+            same_rack=job.same_rack,
+            data_rack="",
+            label="",
+            max_per_worker=0,
+            avoided=frozenset(),
+            priority=job.priority,
+            account=AccountId(job.account),
+            is_guaranteed=job.name in protected,
+            arrived_at_s=job.arrives_at_s,
+            estimate_s=job.estimate_s,
+            latest_start_s=due_at_s - job.estimate_s,
+            hopeless_at_s=late_at_s - job.estimate_s,
+        )
+
+    def _use(self, run: _Run, protected: set[str]) -> Use:
+        elapsed_s = self._now_s - run.began_at_s
+        is_saving = run.job.is_saving
+        return Use(
+            unit=run.job.unit,
+            index=run.index,
+            worker=run.worker,
+            demand=run.job.demand,
+            priority=run.job.priority,
+            account=AccountId(run.job.account),
+            is_protected=run.job.name in protected,
+            is_stopping=run.frees_at_s != float("inf"),
+            is_gang=run.job.is_gang,
+            loss_s=min(elapsed_s, ORDER_S) if is_saving else elapsed_s,
+            ends_at_s=run.began_at_s + run.job.estimate_s,
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoadShape:
+    """A kind of job for `draw_load`.
+
+    Attributes:
+        name: prefix of the names.
+        per_s: arrivals in a second.
+        burst: times as many arrivals between `burst_at_s` and `burst_end_s`.
+        count: mean number of tasks.
+        count_most: largest number of tasks.
+        accelerators: choices for a task.
+        demand: capacity of a task besides accelerators.
+        work_s: mean run time.
+        share_same_rack: share of gangs that need one rack.
+        share_saving: share that saves checkpoints.
+        fields: further fields of the jobs.
+    """
+
+    name: str
+    per_s: float
+    count: float
+    count_most: int
+    accelerators: tuple[int, ...]
+    demand: Resources
+    work_s: float
+    share_same_rack: float = 0.0
+    share_saving: float = 0.0
+    burst: float = 1.0
+    burst_at_s: float = 0.0
+    burst_end_s: float = 0.0
+    fields: dict[str, object] = dataclasses.field(default_factory=dict)
+
+
+def draw_load(
+    shapes: Iterable[LoadShape],
+    *,
+    accounts: int,
+    until_s: float,
+    seed: int,
+) -> list[LoadJob]:
+    """Draws a load; the same arguments give the same jobs."""
+    found: list[LoadJob] = []
+    for shape in shapes:
+        rng = random.Random(f"{seed}/{shape.name}")
+        at_s = 0.0
+        while True:
+            is_burst = shape.burst_at_s <= at_s < shape.burst_end_s
+            rate = shape.per_s * (shape.burst if is_burst else 1.0)
+            at_s += rng.expovariate(rate)
+            if at_s >= until_s:
+                break
+            found.append(_draw_job(shape, rng, at_s, accounts, len(found)))
+    found.sort(key=lambda j: j.arrives_at_s)
+    return found
+
+
+def _draw_job(
+    shape: LoadShape,
+    rng: random.Random,
+    at_s: float,
+    accounts: int,
+    number: int,
+) -> LoadJob:
+    width = rng.lognormvariate(0.0, 0.7) * shape.count * 0.78
+    accelerators = rng.choice(shape.accelerators)
+    work_s = max(0.5, shape.work_s * rng.lognormvariate(-0.05, 0.3))
+    return LoadJob(
+        name=f"{shape.name}{number}",
+        account=f"a{rng.randrange(accounts)}",
+        arrives_at_s=at_s,
+        count=max(1, min(shape.count_most, round(width))),
+        demand=dataclasses.replace(shape.demand, accelerators=accelerators),
+        work_s=work_s,
+        estimate_s=work_s * rng.uniform(0.8, 1.25),
+        same_rack=rng.random() < shape.share_same_rack,
+        is_saving=rng.random() < shape.share_saving,
+        **shape.fields,  # type: ignore[arg-type]
+    )
