Send the starts of a gang whole or not at all

Change: members are checked together; the check in the step of sending asks only for what forbids a start.

Test: a worker of a planned gang cools down while the store is slow.

--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import functools
 from collections.abc import Callable, Iterable, Mapping
 
@@ -28,6 +29,14 @@
 SLOW_PLAN_S = 0.3
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Group:
+    """Planned runs of a job that are sent together."""
+
+    progress: JobProgress
+    members: list[tuple[TaskKey, jobs.Attempt]]
+
+
 class PlanRunner:
     """Plans on every change; starts are stored before they are sent.
 
@@ -157,9 +166,8 @@
             if unit.job not in self.table.active:
                 del self._sacrificed[unit]
 
-    def _begin(
-        self, start: placement.Start, wall_s: float
-    ) -> list[tuple[JobProgress, TaskKey, jobs.Attempt]]:
+    def _begin(self, start: placement.Start, wall_s: float) -> list[_Group]:
+        """Records a start; returns what has to be sent together."""
         progress = self.table.jobs[start.unit.job]
         placed = [
             (index, worker, self.links[worker].lifetime)
@@ -170,7 +178,7 @@
         )
         self.on_planned(progress)
         found = [
-            (progress, key, task.attempt)
+            (key, task.attempt)
             for key in begun
             if (task := progress.task(key)) and task.attempt
         ]
@@ -179,7 +187,7 @@
             job=progress.job.job,
             step=list(start.unit.step),
             workers=[w for _, w, _ in placed],
-            runs=sorted({attempt.run for _, _, attempt in found}),
+            runs=sorted({attempt.run for _, attempt in found}),
             epoch=self.sender.epoch,
             spread=start.is_spread,
             waited_s=round(
@@ -187,33 +195,57 @@
                 3,
             ),
         )
-        return found
+        if progress.spec_of(start.unit.step).is_gang:
+            return [_Group(progress=progress, members=found)]
+        return [_Group(progress=progress, members=[m]) for m in found]
 
-    async def _launch(
-        self,
-        begun: list[tuple[JobProgress, TaskKey, jobs.Attempt]],
-        position: int,
-    ) -> None:
-        """Sends starts once they are stored."""
+    async def _launch(self, begun: list[_Group], position: int) -> None:
+        """Sends starts once they are stored.
+
+        A gang is sent whole or not at all: members without the rest would wait
+        for it and be broken.
+        """
         await self.journal.wait_stored(position)
-        for progress, key, attempt in begun:
-            task = progress.task(key)
-            if task is None or task.attempt is not attempt:
-                continue
-            may_send = functools.partial(self._may_start, progress, attempt)
-            if self.permission.may_start() and may_send():
+        for group in begun:
+            current = [
+                (key, attempt)
+                for key, attempt in group.members
+                if (task := group.progress.task(key))
+                and task.attempt is attempt
+            ]
+            is_allowed = (
+                len(current) == len(group.members)
+                and self.permission.may_start()
+                and all(self._is_open(group.progress, a) for _, a in current)
+            )
+            for key, attempt in current:
+                if not is_allowed:
+                    self.on_lost(group.progress, key, attempt.run)
+                    continue
                 self.sender.send_start(
-                    progress, key, attempt, may_send=may_send
+                    group.progress,
+                    key,
+                    attempt,
+                    may_send=functools.partial(
+                        self._may_start, group.progress, attempt
+                    ),
                 )
-            else:
-                self.on_lost(progress, key, attempt.run)
 
-    def _may_start(self, progress: JobProgress, attempt: jobs.Attempt) -> bool:
+    def _is_open(self, progress: JobProgress, attempt: jobs.Attempt) -> bool:
         """Tells whether what the plan relied on still holds."""
         link = self.links.get(attempt.worker)
         return (
             link is not None
             and link.is_open
+            and self._may_start(progress, attempt)
+        )
+
+    def _may_start(self, progress: JobProgress, attempt: jobs.Attempt) -> bool:
+        """Tells whether nothing forbids a start that is about to be sent."""
+        link = self.links.get(attempt.worker)
+        return (
+            link is not None
+            and not link.listed.is_draining
             and link.listed.zone not in self.snapshots.removed_zones()
             and not progress.state.is_final
             and attempt.state is not jobs.AttemptState.STOPPING
--- a/magnoliaglade/coordinator/tests/test_silence.py
+++ b/magnoliaglade/coordinator/tests/test_silence.py
@@ -168,6 +168,40 @@
         assert deployment.starts(job) == []
 
 
+class TestGangsAtTheStart:
+    async def test_a_gang_is_sent_whole_or_not_at_all(self, deployment):
+        # Guards against members that start, wait for one that was held back,
+        # and are broken.
+        slow = deployment.faulty_store()
+        transact = slow.transact
+
+        async def transact_late(**options):
+            await deployment.clock.sleep(0.5)
+            return await transact(**options)
+
+        slow.transact = transact_late
+        current = await deployment.elect(used_store=slow)
+        await deployment.clock.advance(3.0)
+        job = await deployment.submit(
+            harness.make_job(
+                "a",
+                harness.make_step(
+                    count=3, accelerators=8, estimate_s=RUN_S, is_gang=True
+                ),
+            )
+        )
+        await deployment.clock.advance(0.3)
+        progress = current.table.jobs[job]
+        first = next(attempt for _, attempt in progress.attempts())
+        current.links[first.worker].cool_down()
+        await deployment.clock.advance(0.6)
+        assert deployment.starts(job) == []
+        await deployment.clock.advance(4.0)
+        starts = deployment.starts(job)
+        assert len(starts) == 3
+        assert len({s.run for s in starts}) == 1
+
+
 class TestUnforeseenErrors:
     async def test_one_broken_report_does_not_end_the_link(self, deployment):
         # Guards against a worker that nobody looks at any more because one
