Give up runs of a worker that has been replaced at its address

Change: a call that a worker surely has not done leaves the bound of its lease as it was. A worker that has left the list and has been replaced at its address is given up at once; one that is still listed with its lease.

Tests: both fail on the code before.

--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -59,6 +59,7 @@
         is_listed: whether it is on the list now.
         lease: bound on the end of its lease.
         handled_end: number of the last end that was applied.
+        is_replaced: another worker answers at its address.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.reported_at_s = float("-inf")
         self.cooldown_until_s = float("-inf")
         self.leaves_at_s = float("inf")
+        self.is_replaced = False
         self._connect = connect
         self._outdated: list[fleet.WorkerClient] = []
         self._acknowledged = 0
@@ -96,7 +98,8 @@
     def is_answering(self) -> bool:
         """Whether the worker has answered recently."""
         silent_s = self.clock.now() - self.reported_at_s
-        return silent_s <= SILENT_AFTER_S and self.lease.is_synchronized
+        is_recent = silent_s <= SILENT_AFTER_S
+        return is_recent and self.lease.is_synchronized and not self.is_replaced
 
     @property
     def is_open(self) -> bool:
@@ -135,6 +138,7 @@
             observability.log_event("worker", state="moved", worker=self.worker)
             self._outdated.append(self.client)
             self.client = self._connect(listed)
+            self.is_replaced = False
         if listed.is_draining:
             leaves_at_s = self.clock.now() + listed.leaves_in_s
             self.leaves_at_s = min(self.leaves_at_s, leaves_at_s)
@@ -147,14 +151,19 @@
     ) -> AsyncIterator[int | None]:
         """Offers a lease with the call inside; yields its end, or None.
 
-        A call that was not sent leaves the bound as it was.
+        A call that was not sent, or that the worker has surely not done, leaves
+        the bound as it was.
         """
         offer = None
         if renews:
             offer = self.lease.offer(self.clock.now(), self.lease.longest_s)
         try:
             yield offer.until_ms if offer else None
-        except fleet.WorkerNotReachedError:
+        except (
+            fleet.WorkerNotReachedError,
+            fleet.WorkerReplacedError,
+            fleet.WorkerFencedError,
+        ):
             if offer:
                 self.lease.withdraw(offer)
             raise
@@ -182,6 +191,9 @@
             except fleet.WorkerFencedError:
                 self.owner.fenced(self)
                 await self.clock.sleep(RETRY_S)
+            except fleet.WorkerReplacedError:
+                self._note_replacement()
+                await self.clock.sleep(RETRY_S)
             except fleet.FleetError:
                 await self.clock.sleep(RETRY_S)
 
@@ -220,6 +232,17 @@
             self.handled_end = max(self.handled_end, report.ended[-1].number)
             self._pending = (position, self.handled_end)
 
+    def _note_replacement(self) -> None:
+        if not self.is_replaced:
+            self.is_replaced = True
+            observability.log_event(
+                "worker",
+                state="replaced",
+                worker=self.worker,
+                address=self.listed.address,
+                listed=self.is_listed,
+            )
+
     def _note_answer(self, report: WorkerReport) -> None:
         now_s = self.clock.now()
         was_answering = self.is_answering
@@ -227,6 +250,7 @@
             self._replace(report.lifetime)
         self.lease.observe_clock(report.clock_ms, now_s=now_s)
         self.reported_at_s = now_s
+        self.is_replaced = False
         if not was_answering:
             observability.log_event(
                 "worker",
--- a/magnoliaglade/coordinator/_roster.py
+++ b/magnoliaglade/coordinator/_roster.py
@@ -141,6 +141,9 @@
     def _is_surely_over(
         self, link: WorkerLink | None, attempt: jobs.Attempt, now_s: float
     ) -> bool:
+        if link is not None and link.is_replaced and not link.is_listed:
+            # It has left the list, and another worker is where it was.
+            return True
         longest_s = self.longest_lease_s / (1.0 - fleet.CLOCK_DRIFT)
         inherited_s = self.began_at_s + UNCONFIRMED_S + longest_s
         was_inherited = attempt.settled_at_s == float("-inf")
--- a/magnoliaglade/coordinator/tests/test_silence.py
+++ b/magnoliaglade/coordinator/tests/test_silence.py
@@ -65,6 +65,34 @@
         assert len(deployment.starts(job)) == 3
 
 
+class TestReplacedWorkers:
+    """Another worker answers at the address: the runs there are over."""
+
+    async def replace(self, deployment, *, is_listed):
+        await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        (holder,) = deployment.where(f"{job}.0.0.0")
+        deployment.engines[holder].faults.is_replaced = True
+        if not is_listed:
+            deployment.unlisted.add(holder)
+        return job
+
+    async def test_one_that_left_the_list_is_given_up_at_once(self, deployment):
+        job = await self.replace(deployment, is_listed=False)
+        await deployment.clock.advance(2.0)
+        assert [s.run for s in deployment.starts(job)] == [1, 2]
+
+    async def test_one_on_the_list_is_given_up_with_its_lease(self, deployment):
+        # Guards against runs that are waited for for ever, since each refused
+        # look counted as a renewal of the lease.
+        job = await self.replace(deployment, is_listed=True)
+        await deployment.clock.advance(2.0)
+        assert len(deployment.starts(job)) == 1
+        await deployment.clock.advance(6.0)
+        assert [s.run for s in deployment.starts(job)] == [1, 2]
+
+
 def order_epochs(deployment):
     return [o.epoch for e in deployment.engines.values() for o in e.orders]
 
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -44,6 +44,7 @@
         defers_orders: orders are not answered and wait in `deferred`.
         fails_all: every run ends as failed.
         stands_still: runs make no progress.
+        is_replaced: another worker answers at its address.
         is_ahead: runs show 100 percent long before they end, as members of a
             gang do that wait for slower ones.
     """
@@ -54,6 +55,7 @@
     fails_all: bool = False
     stands_still: bool = False
     is_ahead: bool = False
+    is_replaced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -230,6 +232,8 @@
             raise fleet.OrderWithheldError(self.worker)
         if self.faults.is_cut:
             raise fleet.WorkerNotReachedError(self.worker)
+        if self.faults.is_replaced:
+            raise fleet.WorkerReplacedError(self.worker)
         self._advance()
 
     def _note_order(self, epoch: Epoch) -> None:
