Learn the run times of each queue from progress

Change: a Bayesian linear regression for each queue, from reported progress; objective, latest start, backfilling, loss limits and departures use it. The completion of a job is logged with its objective.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -128,6 +128,7 @@
         self._waste = WasteLog(observe_waste=observe_waste)
         self.table = JobTable()
         self.trust = placement.TrustEstimator()
+        self.run_times = placement.RunTimeEstimator()
         self.links: dict[WorkerId, WorkerLink] = {}
         self.journal = Journal(
             store=store, clock=clock, guard=(keys.COORDINATOR_KEY, epoch)
@@ -155,6 +156,7 @@
             journal=self.journal,
             sender=self.sender,
             trust=self.trust,
+            run_times=self.run_times,
             clock=clock,
             on_end=self._end_run,
         )
@@ -163,6 +165,7 @@
             snapshot_builder=SnapshotBuilder(
                 table=self.table,
                 trust=self.trust,
+                run_times=self.run_times,
                 restore_s=timings.restore_s,
                 configuration=configuration,
                 removed_zones=removed_zones,
@@ -178,6 +181,7 @@
                 links=self.links,
                 sender=self.sender,
                 clock=clock,
+                run_times=self.run_times,
                 stop_s=timings.stop_s,
                 on_stall=self._record_stall,
             ),
@@ -390,7 +394,18 @@
         job = progress.job.job
         self._housekeeping.record_job_end(job)
         self.table.update_active(job)
-        observability.log_event("job", state=progress.state.value, job=job)
+        arrived_at_s = progress.job.arrived_at_s(0)
+        objective_at_s = progress.job.objective_at_s(
+            0, self.run_times.step_run_times_s(progress.job)
+        )
+        observability.log_event(
+            "job",
+            state=progress.state.value,
+            job=job,
+            priority=progress.job.priority,
+            took_s=round(self.clock.time() - arrived_at_s, 3),
+            objective_s=round(objective_at_s - arrived_at_s, 3),
+        )
 
     def _stop_all(self, progress: JobProgress) -> None:
         for key, attempt in list(progress.attempts()):
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -17,7 +17,12 @@
     StopCause,
     TaskKey,
 )
-from magnoliaglade.placement import Evidence, Observation
+from magnoliaglade.placement import (
+    Evidence,
+    Observation,
+    RunTimeObservation,
+    UnitId,
+)
 from magnoliaglade.types import WorkerId
 
 OnEnd = Callable[[JobProgress, TaskKey, int, RunOutcome], None]
@@ -31,6 +36,7 @@
         journal: stores what follows from a report.
         sender: sends stops.
         trust: trust estimate that is updated with evidence from ends.
+        run_times: run time estimate that is updated with observed run times.
         clock: source of time.
         on_end: called with job, task, run and outcome of each end.
     """
@@ -42,6 +48,7 @@
         journal: Journal,
         sender: OrderSender,
         trust: placement.TrustEstimator,
+        run_times: placement.RunTimeEstimator,
         clock: clock_lib.Clock,
         on_end: OnEnd,
     ) -> None:
@@ -49,6 +56,7 @@
         self.journal = journal
         self.sender = sender
         self.trust = trust
+        self.run_times = run_times
         self.clock = clock
         self.on_end = on_end
 
@@ -72,11 +80,14 @@
             _, progress, attempt = expected[id(item)]
             progress.save_checkpoint(item.key, end.checkpoint)
             self._record_end(progress, item.key, attempt.worker, end.outcome)
+            if end.outcome is RunOutcome.DONE:
+                self._observe_run_time(progress, item.key, attempt)
             self.on_end(progress, item.key, item.run, end.outcome)
         for item, status in result.present:
             _, progress, attempt = expected[id(item)]
             progress.save_checkpoint(item.key, status.checkpoint)
             self._update_running(attempt, status.percent, report)
+            self._observe_run_time(progress, item.key, attempt)
         for item in result.lost:
             _, progress, _ = expected[id(item)]
             self.on_end(progress, item.key, item.run, RunOutcome.LOST)
@@ -128,6 +139,27 @@
             attempt, percent=percent, reported_ms=report.clock_ms
         )
 
+    def _observe_run_time(
+        self, progress: JobProgress, key: TaskKey, attempt: jobs.Attempt
+    ) -> None:
+        """Updates the run time estimate of the queue, if there is progress."""
+        step_key = jobs.StepKey(key.occurrence, key.step)
+        spec = progress.spec_of(step_key)
+        run_time_s = attempt.extrapolated_run_time_s
+        is_slowed = attempt.is_off_rack
+        if is_slowed is None:
+            is_slowed = spec.same_rack or bool(spec.data_rack)
+        if run_time_s is None or is_slowed or spec.is_long_running:
+            return
+        observation = RunTimeObservation(
+            queue=progress.job.queue,
+            unit=UnitId(progress.job.job, step_key),
+            index=key.index,
+            declared_s=spec.estimate_s,
+            run_time_s=run_time_s,
+        )
+        self.run_times.partial_fit([observation])
+
     def _settle_by_stop(
         self, progress: JobProgress, key: TaskKey, requested_at_s: float
     ) -> None:
--- a/magnoliaglade/coordinator/_run_monitor.py
+++ b/magnoliaglade/coordinator/_run_monitor.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import observability
+from magnoliaglade import observability, placement
 from magnoliaglade.coordinator import _watchdog
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
@@ -30,6 +30,7 @@
         links: links by worker.
         sender: sends stops.
         clock: source of time.
+        run_times: predicts run times from declared ones.
         stop_s: longest time that a worker takes to stop a run, in seconds.
         on_stall: called with job and worker of a stalled run.
     """
@@ -41,6 +42,7 @@
         links: dict[WorkerId, WorkerLink],
         sender: OrderSender,
         clock: clock_lib.Clock,
+        run_times: placement.RunTimeEstimator,
         stop_s: float,
         on_stall: Callable[[JobProgress, WorkerId], None],
     ) -> None:
@@ -48,6 +50,7 @@
         self.links = links
         self.sender = sender
         self.clock = clock
+        self.run_times = run_times
         self.stop_s = stop_s
         self.on_stall = on_stall
         self._checked_at_s = float("-inf")
@@ -86,14 +89,19 @@
                 )
                 self._report_stalls(progress, stalled, runs)
                 continue
-            departing = [a for a in runs if self._must_stop(spec, a, now_s)]
+            run_time_s = self.run_times.run_time_s(
+                progress.job.queue, spec.estimate_s
+            )
+            departing = [
+                a for a in runs if self._must_stop(spec, a, run_time_s, now_s)
+            ]
             if departing:
                 self._stop_runs(
                     progress, key, index, departing, StopCause.WORKER_LEAVES
                 )
 
     def _must_stop(
-        self, spec: StepSpec, attempt: Attempt, now_s: float
+        self, spec: StepSpec, attempt: Attempt, run_time_s: float, now_s: float
     ) -> bool:
         link = self.links.get(attempt.worker)
         if link is None:
@@ -101,7 +109,7 @@
         departure = _watchdog.Departure(
             leaves_at_s=link.leaves_at_s, stop_s=self.stop_s
         )
-        remaining_s = spec.estimate_s * (100.0 - attempt.percent) / 100.0
+        remaining_s = run_time_s * (100.0 - attempt.percent) / 100.0
         return _watchdog.must_stop_before_departure(
             spec, attempt, departure, now_s=now_s, remaining_s=remaining_s
         )
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -17,6 +17,7 @@
     Candidate,
     Claim,
     Demand,
+    RunTimeEstimator,
     Snapshot,
     TrustEstimator,
     UnitId,
@@ -36,6 +37,7 @@
     Attributes:
         table: the jobs.
         trust: estimates the suspicion of workers.
+        run_times: predicts run times from declared ones.
         restore_s: time to resume from a checkpoint, in seconds.
         configuration: returns the configuration in force.
         removed_zones: returns the zones in which nothing may start.
@@ -46,12 +48,14 @@
         *,
         table: JobTable,
         trust: TrustEstimator,
+        run_times: RunTimeEstimator,
         restore_s: float,
         configuration: Callable[[], Configuration | None],
         removed_zones: Callable[[], frozenset[ZoneId]],
     ) -> None:
         self.table = table
         self.trust = trust
+        self.run_times = run_times
         self.restore_s = restore_s
         self.configuration = configuration
         self.removed_zones = removed_zones
@@ -115,11 +119,13 @@
     def _iter_allocations(
         self, progress: JobProgress, wall_s: float, is_protected: bool
     ) -> Iterable[Allocation]:
+        run_times_s = self.run_times.step_run_times_s(progress.job)
         for key, attempt in progress.attempts():
             spec = progress.job.spec.steps[key.step]
+            run_time_s = run_times_s[key.step]
             elapsed_s = max(0.0, wall_s - attempt.started_at_s)
             if not attempt.started_at_s:
-                elapsed_s = spec.estimate_s * attempt.percent / 100.0
+                elapsed_s = run_time_s * attempt.percent / 100.0
             yield Allocation(
                 unit=_unit_id(progress, key),
                 index=key.index,
@@ -133,7 +139,7 @@
                 is_gang=spec.is_gang,
                 loss_s=self._loss_s(spec, elapsed_s),
                 ends_at_s=wall_s
-                + _remaining_s(spec, elapsed_s, attempt.percent),
+                + _remaining_s(run_time_s, elapsed_s, attempt.percent),
             )
 
     def _loss_s(self, spec: StepSpec, elapsed_s: float) -> float:
@@ -179,11 +185,12 @@
         job = progress.job
         spec = progress.spec_of(key)
         arrived_at_s = job.arrived_at_s(key.occurrence)
-        objective_at_s = job.objective_at_s(key.occurrence)
+        run_times_s = self.run_times.step_run_times_s(job)
+        objective_at_s = job.objective_at_s(key.occurrence, run_times_s)
         latest_end_s = arrived_at_s + MAX_LATENESS_FACTOR * (
             objective_at_s - arrived_at_s
         )
-        remaining_s = _critical_path_s(job.spec.steps, key.step)
+        remaining_s = job.critical_path_s(run_times_s, key.step)
         return Demand(
             unit=UnitId(job.job, key),
             service=self._service_of(progress),
@@ -199,7 +206,7 @@
             account=job.account,
             is_guaranteed=is_protected,
             arrived_at_s=arrived_at_s,
-            estimate_s=spec.estimate_s,
+            estimate_s=run_times_s[key.step],
             latest_start_s=objective_at_s - remaining_s,
             latest_useful_start_s=latest_end_s - remaining_s,
         )
@@ -249,20 +256,7 @@
     return waiting
 
 
-def _remaining_s(spec: StepSpec, elapsed_s: float, percent: float) -> float:
+def _remaining_s(run_time_s: float, elapsed_s: float, percent: float) -> float:
     if percent > 5.0 and elapsed_s > 0.0:
         return elapsed_s * (100.0 - percent) / percent
-    return max(0.1, spec.estimate_s - elapsed_s)
-
-
-def _critical_path_s(steps: tuple[StepSpec, ...], first: int) -> float:
-    """Returns the duration of the longest chain of steps from `first` on."""
-    lengths_s = [step.estimate_s for step in steps]
-    # `after` only refers to earlier steps.
-    for number in range(len(steps) - 1, first, -1):
-        for earlier in steps[number].after:
-            lengths_s[earlier] = max(
-                lengths_s[earlier],
-                steps[earlier].estimate_s + lengths_s[number],
-            )
-    return lengths_s[first]
+    return max(0.1, run_time_s - elapsed_s)
--- a/magnoliaglade/coordinator/_watchdog.py
+++ b/magnoliaglade/coordinator/_watchdog.py
@@ -52,6 +52,9 @@
         attempt.no_progress_s = 0.0
     else:
         attempt.no_progress_s += max(0.0, gap_s)
+    if is_first:
+        attempt.first_percent = percent
+        attempt.first_reported_ms = reported_ms
     attempt.percent = percent
     attempt.reported_ms = reported_ms
 
--- a/magnoliaglade/jobs/_model.py
+++ b/magnoliaglade/jobs/_model.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from magnoliaglade.types import AccountId, JobId, QueueName, ServiceName
@@ -190,26 +191,46 @@
         """Returns when an occurrence may start, seconds since 1970."""
         return max(self.accepted_at_s, self.spec.due_at_s(occurrence))
 
-    def critical_path_s(self) -> float:
-        """Returns the length of the critical path in seconds.
+    def critical_path_s(
+        self, run_times_s: Sequence[float], first: int
+    ) -> float:
+        """Returns the length of the longest chain of steps from `first` on.
 
-        It is the longest sum of declared durations along dependent steps.
+        Args:
+            run_times_s: expected run time of a task of each step, in seconds.
+            first: number of the step that the chain begins with.
         """
-        path_lengths_s: list[float] = []
-        for step in self.spec.steps:
-            predecessors_s = max(
-                (path_lengths_s[i] for i in step.after), default=0.0
-            )
-            path_lengths_s.append(predecessors_s + step.estimate_s)
-        return max(path_lengths_s, default=0.0)
-
-    def objective_at_s(self, occurrence: int) -> float:
+        lengths_s = list(run_times_s)
+        # `after` only refers to earlier steps.
+        for number in range(len(lengths_s) - 1, first, -1):
+            for earlier in self.spec.steps[number].after:
+                lengths_s[earlier] = max(
+                    lengths_s[earlier],
+                    run_times_s[earlier] + lengths_s[number],
+                )
+        return lengths_s[first]
+
+    def objective_at_s(
+        self, occurrence: int, run_times_s: Sequence[float]
+    ) -> float:
         """Returns when an occurrence should be complete, seconds since 1970.
 
         The objective is `stretch` times the critical path, plus `objective_s`,
         after the time at which the occurrence may start.
+
+        Args:
+            occurrence: number of the occurrence.
+            run_times_s: expected run time of a task of each step, in seconds.
         """
-        allowed_s = self.stretch * self.critical_path_s() + self.objective_s
+        longest_s = max(
+            (
+                self.critical_path_s(run_times_s, first)
+                for first, step in enumerate(self.spec.steps)
+                if not step.after
+            ),
+            default=0.0,
+        )
+        allowed_s = self.stretch * longest_s + self.objective_s
         return self.arrived_at_s(occurrence) + allowed_s
 
 
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -52,6 +52,11 @@
     UNSETTLED = "unsettled"
 
 
+# Smallest progress in percent, between two reports, from which the run time of
+# a task is extrapolated; progress is reported in whole percents.
+MIN_EXTRAPOLATED_PERCENT = 10.0
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Attempt:
     """A run that is, or may be, active on a worker.
@@ -67,6 +72,10 @@
             take effect unnoticed; None while it may still take effect late.
         call_ended_at_s: monotonic time at which the call with the start order
             ended without an answer; infinity if it did not.
+        is_off_rack: whether the run is slowed down by its distance from its
+            data or from other members of its gang; None if unknown.
+        first_percent: progress at the first report in this term.
+        first_reported_ms: the worker's clock at that report; 0 before it.
         percent: progress at the last report.
         reported_ms: the worker's clock at the last report that lists the run;
             0 before the first one in this coordinator's term.
@@ -82,11 +91,23 @@
     started_at_s: float = 0.0
     settled_at_s: float | None = None
     call_ended_at_s: float = float("inf")
+    is_off_rack: bool | None = None
+    first_percent: float = 0.0
+    first_reported_ms: int = 0
     percent: float = 0.0
     reported_ms: int = 0
     no_progress_s: float = 0.0
     stop_cause: StopCause | None = None
 
+    @property
+    def extrapolated_run_time_s(self) -> float | None:
+        """Run time of the whole task in seconds; None without progress."""
+        progressed = self.percent - self.first_percent
+        if progressed < MIN_EXTRAPOLATED_PERCENT:
+            return None
+        elapsed_ms = self.reported_ms - self.first_reported_ms
+        return elapsed_ms / 1000.0 * 100.0 / progressed
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TaskProgress:
--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -18,6 +18,10 @@
 )
 from magnoliaglade.placement._planner import Planner
 from magnoliaglade.placement._preemption import core_seconds
+from magnoliaglade.placement._run_times import (
+    RunTimeEstimator,
+    RunTimeObservation,
+)
 from magnoliaglade.placement._trust import (
     Evidence,
     Observation,
@@ -34,6 +38,8 @@
     "Plan",
     "Planner",
     "Preemption",
+    "RunTimeEstimator",
+    "RunTimeObservation",
     "Snapshot",
     "Start",
     "Timeliness",
--- a/magnoliaglade/standins/pool.py
+++ b/magnoliaglade/standins/pool.py
@@ -24,6 +24,7 @@
 from magnoliaglade.types import (
     AccountId,
     JobId,
+    QueueName,
     RackId,
     ServiceName,
     WorkerId,
@@ -86,6 +87,11 @@
         """The job's only step run."""
         return UnitId(JobId(self.name), StepKey(0, 0))
 
+    @property
+    def queue(self) -> QueueName:
+        """Queue of the job; there is one for each priority."""
+        return QueueName(f"q{self.priority}")
+
     @property
     def objective_s(self) -> float:
         """Time from submission by which the job should be complete."""
@@ -153,6 +159,8 @@
         workers: the pool.
         guarantees: accelerators that accounts can always have for urgent jobs.
         stop_s: time that a stop takes, in seconds.
+        run_times: predicts run times from declared ones; learns from the jobs
+            that end.
         sacrificed: work thrown away for each unit, in core-seconds.
     """
 
@@ -163,11 +171,13 @@
         workers: Iterable[Candidate],
         guarantees: dict[str, int] | None = None,
         stop_s: float = 0.2,
+        run_times: placement.RunTimeEstimator | None = None,
     ) -> None:
         self.planner = planner
         self.workers = tuple(workers)
         self.guarantees = guarantees or {}
         self.stop_s = stop_s
+        self.run_times = run_times or placement.RunTimeEstimator(max_units=0)
         self.outcome = Outcome()
         self.plans: list[tuple[float, placement.Plan]] = []
         self._racks = {c.worker: c.rack for c in self.workers}
@@ -238,6 +248,17 @@
         elif took_s <= LATE_FACTOR * job.objective_s:
             self.outcome.earned += job.late_worth
         del self._jobs[job.name]
+        self.run_times.partial_fit(
+            [
+                placement.RunTimeObservation(
+                    queue=job.queue,
+                    unit=job.unit,
+                    index=0,
+                    declared_s=job.estimate_s,
+                    run_time_s=job.work_s,
+                )
+            ]
+        )
 
     def _plan(self) -> bool:
         """Makes and carries out a plan; tells whether it was complete."""
@@ -320,8 +341,10 @@
     ) -> Demand | None:
         if job.is_gang and len(indexes) < job.count:
             return None
-        due_at_s = job.arrives_at_s + job.objective_s
-        late_at_s = job.arrives_at_s + LATE_FACTOR * job.objective_s
+        run_time_s = self.run_times.run_time_s(job.queue, job.estimate_s)
+        objective_s = job.stretch * run_time_s + job.slack_s
+        due_at_s = job.arrives_at_s + objective_s
+        late_at_s = job.arrives_at_s + LATE_FACTOR * objective_s
         return Demand(
             unit=job.unit,
             service=SERVICE,
@@ -337,9 +360,9 @@
             account=AccountId(job.account),
             is_guaranteed=job.name in protected,
             arrived_at_s=job.arrives_at_s,
-            estimate_s=job.estimate_s,
-            latest_start_s=due_at_s - job.estimate_s,
-            latest_useful_start_s=late_at_s - job.estimate_s,
+            estimate_s=run_time_s,
+            latest_start_s=due_at_s - run_time_s,
+            latest_useful_start_s=late_at_s - run_time_s,
         )
 
     def _use(self, run: _Run, protected: set[str]) -> Allocation:
@@ -375,6 +398,9 @@
         work_s: mean run time.
         share_same_rack: share of gangs that need one rack.
         share_saving: share that saves checkpoints.
+        estimate_bias: median of declared run times, as a ratio to true ones.
+        estimate_spread: standard deviation of the logarithm of that ratio; 0
+            for a uniform error of up to a quarter.
         fields: further fields of the jobs.
     """
 
@@ -387,6 +413,8 @@
     work_s: float
     share_same_rack: float = 0.0
     share_saving: float = 0.0
+    estimate_bias: float = 1.0
+    estimate_spread: float = 0.0
     burst: float = 1.0
     burst_at_s: float = 0.0
     burst_end_s: float = 0.0
@@ -433,8 +461,14 @@
         count=max(1, min(shape.count_most, round(width))),
         demand=dataclasses.replace(shape.demand, accelerators=accelerators),
         work_s=work_s,
-        estimate_s=work_s * rng.uniform(0.8, 1.25),
+        estimate_s=work_s * _draw_estimate_ratio(shape, rng),
         same_rack=rng.random() < shape.share_same_rack,
         is_saving=rng.random() < shape.share_saving,
         **shape.fields,  # type: ignore[arg-type]
     )
+
+
+def _draw_estimate_ratio(shape: LoadShape, rng: random.Random) -> float:
+    if not shape.estimate_spread:
+        return shape.estimate_bias * rng.uniform(0.8, 1.25)
+    return shape.estimate_bias * rng.lognormvariate(0.0, shape.estimate_spread)
