Announce stored jobs and cancellations to the coordinator

Cause: the coordinator learns of jobs from one watch. While the store is slow, the watch adds 0.2 s to each job.

Change: a gateway sends the entry that it has just stored, with its revision, to the elected instance, without delaying the answer. The watch returns the same change later and remains the source of truth. A lost history is read again at once.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -210,6 +210,7 @@
             status_s=timings.status_s,
         )
         self._replaced = asyncio.Event()
+        self._is_loaded = False
         self._stored_entries: dict[str, store.Entry] = {}
         self._intake = _make_intake(self)
 
@@ -288,6 +289,16 @@
             state=progress.state, account=progress.job.account
         )
 
+    def accept_entry(self, entry: store.Entry) -> None:
+        """Applies an entry of the intake before the watch returns it.
+
+        Handles moments at which the watch is late: the store is slow or has
+        dropped its history. The entry is ignored until the stored jobs are
+        loaded, which includes it.
+        """
+        if self._is_loaded:
+            self._intake.add_entry(entry)
+
     def dump(self) -> dict[str, Any]:
         """Returns the epoch, counts of jobs, and the state of the parts."""
         return {
@@ -321,6 +332,7 @@
                     {k: e.revision for k, e in entries_by_key.items()}
                 )
                 await self._intake.reload()
+                self._is_loaded = True
                 break
             except store.StoreError as error:
                 observability.log_event(
--- a/magnoliaglade/coordinator/tests/test_coordinator.py
+++ b/magnoliaglade/coordinator/tests/test_coordinator.py
@@ -398,3 +398,68 @@
         with contextlib.suppress(KeyError):
             entries, _ = await deployment.store.list_prefix("magnoliaglade/")
             assert not [e for e in entries if str(job) in e.key]
+
+
+class TestAnnouncedEntries:
+    # Load pattern: the store is slow or drops its history, and watches return
+    # nothing for a second. Guards against urgent jobs that wait for the watch.
+
+    async def test_announced_job_starts_while_the_watch_is_silent(
+        self, deployment
+    ):
+        faulty = deployment.faulty_store()
+        current = await deployment.elect(faulty)
+        await deployment.clock.advance(1.0)
+        faulty.withholds_changes = True
+        # The watch that is in progress returns this one.
+        await deployment.submit(harness.make_job("earlier"))
+        await deployment.clock.advance(0.1)
+        job = await deployment.submit(harness.make_job("a"))
+        current.accept_entry(await deployment.store.get(keys.job_key(job)))
+        await deployment.clock.advance(0.3)
+        assert len(deployment.starts(job)) == 1
+
+    async def test_announced_and_watched_job_starts_once(self, deployment):
+        current = await deployment.elect()
+        await deployment.clock.advance(1.0)
+        job = await deployment.submit(harness.make_job("a"))
+        entry = await deployment.store.get(keys.job_key(job))
+        for _ in range(3):
+            current.accept_entry(entry)
+            await deployment.clock.advance(0.1)
+        await deployment.clock.advance(6.0)
+        assert len(deployment.starts(job)) == 1
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_announced_cancellation_is_applied(self, deployment):
+        faulty = deployment.faulty_store()
+        current = await deployment.elect(faulty)
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        faulty.withholds_changes = True
+        await deployment.submit(harness.make_job("later"))
+        await deployment.clock.advance(0.1)
+        await deployment.cancel(job)
+        current.accept_entry(
+            await deployment.store.get(keys.cancellation_key(job))
+        )
+        await deployment.clock.advance(0.5)
+        assert await deployment.state(job) is JobState.CANCELLED
+
+    async def test_entry_before_the_stored_jobs_are_read_is_ignored(
+        self, deployment
+    ):
+        # Guards against a started job that is taken for a new one, and run
+        # again, since its progress has not been read.
+        first = await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        await deployment.kill(first)
+        slow = deployment.faulty_store()
+        slow.delay_s = 1.0
+        second = await deployment.elect(slow)
+        second.accept_entry(await deployment.store.get(keys.job_key(job)))
+        slow.delay_s = 0.0
+        await deployment.clock.advance(12.0)
+        assert len(deployment.starts(job)) == 1
+        assert await deployment.state(job) is JobState.COMPLETED
--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -4,6 +4,7 @@
 the result of a call never depends on whether a coordinator is running.
 """
 
+import asyncio
 import dataclasses
 import enum
 from collections.abc import Awaitable, Callable
@@ -76,12 +77,17 @@
 
 
 QueryCoordinator = Callable[[JobId], Awaitable[jobs.JobSummary | None]]
+Announce = Callable[[store.Entry], Awaitable[None]]
 
 
 async def _no_coordinator(_: JobId) -> jobs.JobSummary | None:
     return None
 
 
+async def _announce_to_nobody(_: store.Entry) -> None:
+    return
+
+
 class Gateway(base.Parameterized):
     """Submits, cancels and looks up jobs.
 
@@ -92,6 +98,7 @@
         revoke_s: time in seconds for which a revoked key may still be served.
         query_coordinator: returns the coordinator's summary of a job, or None
             if there is none; used while the store does not reply.
+        announce: tells the coordinator about an entry that was just stored.
     """
 
     _parameter_constraints = {
@@ -106,12 +113,15 @@
         configuration_watcher: ConfigurationWatcher,
         revoke_s: float,
         query_coordinator: QueryCoordinator = _no_coordinator,
+        announce: Announce = _announce_to_nobody,
     ) -> None:
         self.store = store
         self.clock = clock
         self.configuration_watcher = configuration_watcher
         self.revoke_s = revoke_s
         self.query_coordinator = query_coordinator
+        self.announce = announce
+        self._background: set[asyncio.Task[None]] = set()
         self._unconfirmed_completions: dict[JobId, None] = {}
         self._cached_counts: tuple[float, dict[str, int]] = (float("-inf"), {})
 
@@ -314,7 +324,7 @@
             if not may_be_stored and self.store.outage_s > 0.0:
                 return CallOutcome.REFUSED
             try:
-                await self._call_store(
+                revision = await self._call_store(
                     self.store.put(key, value, expected=0), deadline_s
                 )
             except store.ConflictError:
@@ -326,6 +336,7 @@
                 reason = str(error)
                 may_be_stored = True
             else:
+                self._announce_entry(key, value, revision)
                 return CallOutcome.ACCEPTED
             end_s = deadline_s
             if not may_be_stored:
@@ -334,6 +345,13 @@
                 return self._log_failed_write(key, reason, may_be_stored)
             await self.clock.sleep(RETRY_INTERVAL_S)
 
+    def _announce_entry(self, key: str, value: bytes, revision: int) -> None:
+        """Announces a stored entry without delaying the answer."""
+        entry = store.Entry(key=key, value=value, revision=revision)
+        task = asyncio.ensure_future(self.announce(entry))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     async def _call_store(self, call: Awaitable[_T], deadline_s: float) -> _T:
         """Returns the store's reply if it arrives by the deadline.
 
--- a/magnoliaglade/gateway/tests/test_gateway.py
+++ b/magnoliaglade/gateway/tests/test_gateway.py
@@ -256,3 +256,39 @@
         await harness.clock.advance(5.0)
         assert not harness.gateway.has_fresh_configuration
         await harness.configuration_watcher.stop()
+
+
+class TestAnnouncements:
+    @pytest.fixture
+    def announced(self, harness):
+        found = []
+
+        async def announce(entry):
+            found.append(entry)
+
+        harness.gateway.announce = announce
+        return found
+
+    async def test_stored_job_is_announced_once(self, harness, announced):
+        await harness.submit()
+        await harness.submit()
+        stored = await harness.memory.get(keys.job_key(JOB))
+        assert [(e.key, e.revision) for e in announced] == [
+            (stored.key, stored.revision)
+        ]
+
+    async def test_refused_job_is_not_announced(self, harness, announced):
+        harness.faulty.is_down = True
+        await harness.submit()
+        assert announced == []
+
+    async def test_unanswered_announcement_does_not_delay_the_answer(
+        self, harness
+    ):
+        async def announce(_):
+            await asyncio.Event().wait()
+
+        harness.gateway.announce = announce
+        outcome, duration_s = await harness.submit()
+        assert outcome is CallOutcome.ACCEPTED
+        assert duration_s <= 0.1
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -26,12 +26,15 @@
     supervision,
 )
 from magnoliaglade.gateway import Gateway
+from magnoliaglade.instance._coordinator_calls import (
+    CoordinatorClient,
+    make_routes,
+)
 from magnoliaglade.instance._metrics import InstanceMetrics
 from magnoliaglade.instance._settings import (
     InstanceSettings,
     InstanceSettingsError,
 )
-from magnoliaglade.instance._summaries import SummaryClient, make_route
 from magnoliaglade.types import Epoch, JobId
 
 # Time between SIGTERM and closing the listeners, in seconds. The platform
@@ -79,7 +82,7 @@
             prefix=platform.OPERATOR_PREFIX,
             decode=platform.decode_operator_state,
         )
-        self._summary_client = SummaryClient(
+        self._coordinator_client = CoordinatorClient(
             address=lambda: self.election.coordinator_address
         )
         self.gateway = Gateway(
@@ -87,7 +90,8 @@
             clock=clock,
             configuration_watcher=self.configuration_watcher,
             revoke_s=settings.bounds.revoke_s,
-            query_coordinator=self._summary_client.find,
+            query_coordinator=self._coordinator_client.find_summary,
+            announce=self._announce,
         )
         self.monitor = supervision.LoopMonitor(clock=clock)
         self.election = coordinator.Election(
@@ -173,7 +177,7 @@
             await asyncio.gather(self._confirm_task, return_exceptions=True)
         await self.configuration_watcher.stop()
         await self.monitor.stop()
-        await self._summary_client.stop()
+        await self._coordinator_client.stop()
         await self._platform_store.stop()
 
     async def _stop_by(
@@ -284,13 +288,26 @@
             {
                 ("GET", "/metrics"): metrics,
                 ("GET", "/state"): state,
-                **make_route(self._find_summary),
+                **make_routes(
+                    find_summary=self._find_summary,
+                    accept_entry=self._accept_entry,
+                ),
             }
         )
 
     def _find_summary(self, job: JobId) -> jobs.JobSummary | None:
         return self._coordinator.summary(job) if self._coordinator else None
 
+    def _accept_entry(self, entry: store.Entry) -> bool:
+        if self._coordinator is None:
+            return False
+        self._coordinator.accept_entry(entry)
+        return True
+
+    async def _announce(self, entry: store.Entry) -> None:
+        if not self._accept_entry(entry):
+            await self._coordinator_client.announce(entry)
+
     def _refresh_metrics(self) -> None:
         current = self._coordinator
         self.metrics.store_calls.set(self.store.calls)
--- a/magnoliaglade/standins/_faulty_store.py
+++ b/magnoliaglade/standins/_faulty_store.py
@@ -24,6 +24,7 @@
             `StoreOutcomeUnknownError` and have no effect.
         defers_writes: writes raise `StoreOutcomeUnknownError` and wait for
             `deliver_deferred`.
+        withholds_changes: watches return nothing until their wait is over.
         call_counts: calls by method name, refused ones included.
     """
 
@@ -37,6 +38,7 @@
         self.lost_answers = 0
         self.lost_requests = 0
         self.defers_writes = False
+        self.withholds_changes = False
         self._deferred: list[tuple[str, Any, Any]] = []
         self.call_counts: collections.Counter[str] = collections.Counter()
 
@@ -81,6 +83,9 @@
 
     async def watch(self, prefix: str, **options: Any) -> Any:
         """See `Store.watch`."""
+        if self.withholds_changes:
+            await self.clock.sleep(options["wait_s"])
+            return []
         return await self._call("watch", prefix, **options)
 
     async def _call(self, name: str, *args: Any, **options: Any) -> Any:
--- a/magnoliaglade/store/_prefix_watcher.py
+++ b/magnoliaglade/store/_prefix_watcher.py
@@ -58,9 +58,18 @@
         while True:
             try:
                 await self.update_once()
+            except _errors.HistoryLostError:
+                # The next full read includes the changes that were dropped.
+                await self._reload_or_wait()
             except _errors.StoreError:
                 await self.clock.sleep(self.retry_delay_s)
 
+    async def _reload_or_wait(self) -> None:
+        try:
+            await self.reload()
+        except _errors.StoreError:
+            await self.clock.sleep(self.retry_delay_s)
+
     async def update_once(self) -> None:
         """Reads the prefix, or waits for the next change.
 
@@ -92,6 +101,18 @@
         self._last_revision = max(e.revision for e in events)
         self.on_change(frozenset(e.key for e in events))
 
+    def add_entry(self, entry: Entry) -> None:
+        """Applies an entry that another process has read or written.
+
+        Has no effect if the entry is not newer than the known one. The watch
+        returns the same change later, which then reports nothing new.
+        """
+        known = self.entries.get(entry.key)
+        if known is not None and known.revision >= entry.revision:
+            return
+        self.entries[entry.key] = entry
+        self.on_change(frozenset({entry.key}))
+
     async def reload(self) -> None:
         """Reads all entries and reports the keys that have changed.
 
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -2,17 +2,19 @@
 
 import asyncio
 
+import msgpack
 import pytest
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import http, jobs, platform
+from magnoliaglade import http, jobs, platform, store
 from magnoliaglade.instance import (
     Address,
     InstanceSettings,
     TimeBounds,
+    _coordinator_calls,
     _instance,
-    _summaries,
 )
+from magnoliaglade.jobs import keys
 from magnoliaglade.platform import testing
 from magnoliaglade.standins import platform as platform_standin
 from magnoliaglade.types import InstanceId, ZoneId
@@ -144,16 +146,16 @@
         _, instance, caller = deployment
         await caller.call("POST", PREFIX + JOB, body=BODY)
         await caller.until(PREFIX + JOB, {"state": "completed"})
-        client = _summaries.SummaryClient(
+        client = _coordinator_calls.CoordinatorClient(
             address=lambda: instance.election.coordinator_address
         )
-        summary = await client.find(JOB)
+        summary = await client.find_summary(JOB)
         assert summary.state is jobs.JobState.COMPLETED
         assert summary.account == "studio"
-        assert await client.find("0" * 16) is None
+        assert await client.find_summary("0" * 16) is None
         await client.stop()
-        nobody = _summaries.SummaryClient(address=lambda: "")
-        assert await nobody.find(JOB) is None
+        nobody = _coordinator_calls.CoordinatorClient(address=lambda: "")
+        assert await nobody.find_summary(JOB) is None
 
     async def test_metrics_and_state_are_served(self, deployment):
         _, instance, _ = deployment
@@ -166,6 +168,40 @@
         await client.stop()
 
 
+class TestAnnouncements:
+    async def test_announced_entry_reaches_the_coordinator(self, deployment):
+        _, instance, caller = deployment
+        await caller.call("POST", PREFIX + JOB, body=BODY)
+        await caller.until(PREFIX + JOB, {"state": "completed"})
+        accepted = []
+        instance._coordinator.accept_entry = accepted.append
+        client = _coordinator_calls.CoordinatorClient(
+            address=lambda: instance.election.coordinator_address
+        )
+        entry = store.Entry(key=keys.job_key(JOB), value=b"x", revision=7)
+        await client.announce(entry)
+        assert accepted == [entry]
+        await client.stop()
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"\xc1",
+            msgpack.packb([keys.COUNTS_KEY, b"x", 7]),
+            msgpack.packb([keys.job_key(JOB), "text", 7]),
+            msgpack.packb([keys.job_key(JOB), b"x", -1]),
+        ],
+    )
+    async def test_malformed_announcement_is_refused(self, deployment, body):
+        _, instance, _ = deployment
+        url = f"http://{instance.settings.internal_address}"
+        client = http.HttpClient(url=url)
+        reply = await client.call("POST", "/intake", body=body)
+        assert reply.status == 400
+        await client.stop()
+
+
 class TestSettings:
     def test_what_is_written_is_read(self, tmp_path):
         settings = InstanceSettings(
