--- a/magnoliaglade/coordinator/_election.py
+++ b/magnoliaglade/coordinator/_election.py
@@ -18,9 +18,9 @@
 # Time to live of the coordinator's lease, in seconds. A coordinator that dies
 # is replaced after this time; leases of runs last four times as long. The store
 # grants no lease shorter than one second.
-LEASE_TTL_S = 1.5
+LEASE_TTL_S = 1.0
 # Interval between renewals of the lease, in seconds.
-RENEW_INTERVAL_S = 0.35
+RENEW_INTERVAL_S = 0.25
 # Delay before a renewal that got no answer is retried, in seconds.
 RENEW_RETRY_DELAY_S = 0.1
 # Timeout of a watch on the coordinator's key, in seconds.
