Estimate the speeds of workers and place urgent gangs by them

Change: a Kalman filter for each worker, from progress between two reports against tasks of the same step elsewhere, or the learned run time of the queue. Urgent work prefers fast workers; urgent gangs use slow workers, or those whose answer is overdue, only if no others can be had, also by preemption.

The test of a short store outage now takes the length of the outage from the lease and its renewal, as its comment states; with 1.0 s it had become longer than the lease allows, and failed since the lease was shortened.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -129,6 +129,7 @@
         self.table = JobTable()
         self.trust = placement.TrustEstimator()
         self.run_times = placement.RunTimeEstimator()
+        self.speeds = placement.SpeedEstimator()
         self.links: dict[WorkerId, WorkerLink] = {}
         self.journal = Journal(
             store=store, clock=clock, guard=(keys.COORDINATOR_KEY, epoch)
@@ -157,6 +158,7 @@
             sender=self.sender,
             trust=self.trust,
             run_times=self.run_times,
+            speeds=self.speeds,
             clock=clock,
             on_end=self._end_run,
         )
@@ -166,6 +168,7 @@
                 table=self.table,
                 trust=self.trust,
                 run_times=self.run_times,
+                speeds=self.speeds,
                 restore_s=timings.restore_s,
                 configuration=configuration,
                 removed_zones=removed_zones,
@@ -193,6 +196,7 @@
             links=self.links,
             table=self.table,
             trust=self.trust,
+            speeds=self.speeds,
             clock=clock,
             owner=self,
             connect=connect,
--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -18,6 +18,8 @@
 IDLE_POLL_WAIT_S = 2.0
 # A worker that has not answered for this long, in seconds, gets no new tasks.
 UNRESPONSIVE_AFTER_S = 3.2
+# An answer is overdue this long, in seconds, after the poll should have ended.
+OVERDUE_AFTER_S = 0.4
 # Delay after a failed call, in seconds.
 RETRY_DELAY_S = 0.3
 # Longest wait, in seconds, for run ends to be stored before a poll that is to
@@ -81,6 +83,7 @@
         self.lifetime = listed.lifetime
         self.client = connect(listed)
         self.reported_at_s = float("-inf")
+        self.due_at_s = float("inf")
         self.cooldown_until_s = float("-inf")
         self.leaves_at_s = float("inf")
         self.is_replaced = False
@@ -103,6 +106,11 @@
         is_recent = since_report_s <= UNRESPONSIVE_AFTER_S
         return is_recent and self.lease.is_synchronized and not self.is_replaced
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether the answer to the current poll is overdue."""
+        return self.clock.now() > self.due_at_s
+
     @property
     def is_schedulable(self) -> bool:
         """Whether the worker may be given tasks."""
@@ -219,6 +227,10 @@
                 acknowledged = number
         is_new = acknowledged > self._acknowledged_end
         requested_at_s = self.clock.now()
+        wait_s = self._poll_wait_s(has_pending_end=number > acknowledged)
+        # An overdue answer stays overdue until one arrives.
+        if not self.is_overdue:
+            self.due_at_s = requested_at_s + wait_s + OVERDUE_AFTER_S
         async with self.offered_lease(
             renews=permission.may_renew()
         ) as until_ms:
@@ -226,7 +238,7 @@
                 epoch=self.owner.epoch,
                 acknowledged=acknowledged,
                 lease_until_ms=until_ms,
-                wait_s=self._poll_wait_s(has_pending_end=number > acknowledged),
+                wait_s=wait_s,
                 may_send=lambda: (
                     (until_ms is None or permission.may_renew())
                     and (not is_new or permission.may_send_orders())
@@ -257,6 +269,7 @@
             self._handle_restart(report.lifetime)
         self.lease.observe_clock(report.clock_ms, now_s=now_s)
         self.reported_at_s = now_s
+        self.due_at_s = float("inf")
         self.is_replaced = False
         if not was_responsive:
             observability.log_event(
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -21,6 +21,7 @@
     Evidence,
     Observation,
     RunTimeObservation,
+    SpeedObservation,
     UnitId,
 )
 from magnoliaglade.types import WorkerId
@@ -37,6 +38,7 @@
         sender: sends stops.
         trust: trust estimate that is updated with evidence from ends.
         run_times: run time estimate that is updated with observed run times.
+        speeds: estimate of the workers' speeds that is updated with progress.
         clock: source of time.
         on_end: called with job, task, run and outcome of each end.
     """
@@ -49,6 +51,7 @@
         sender: OrderSender,
         trust: placement.TrustEstimator,
         run_times: placement.RunTimeEstimator,
+        speeds: placement.SpeedEstimator,
         clock: clock_lib.Clock,
         on_end: OnEnd,
     ) -> None:
@@ -57,6 +60,7 @@
         self.sender = sender
         self.trust = trust
         self.run_times = run_times
+        self.speeds = speeds
         self.clock = clock
         self.on_end = on_end
 
@@ -86,7 +90,14 @@
         for item, status in result.present:
             _, progress, attempt = expected[id(item)]
             progress.save_checkpoint(item.key, status.checkpoint)
+            interval_run_time_s = _watchdog.interval_run_time_s(
+                attempt, percent=status.percent, reported_ms=report.clock_ms
+            )
             self._update_running(attempt, status.percent, report)
+            if interval_run_time_s is not None:
+                self._observe_speed(
+                    progress, item.key, attempt, interval_run_time_s
+                )
             self._observe_run_time(progress, item.key, attempt)
         for item in result.lost:
             _, progress, _ = expected[id(item)]
@@ -146,20 +157,52 @@
         step_key = jobs.StepKey(key.occurrence, key.step)
         spec = progress.spec_of(step_key)
         run_time_s = attempt.extrapolated_run_time_s
-        is_slowed = attempt.is_off_rack
-        if is_slowed is None:
-            is_slowed = spec.same_rack or bool(spec.data_rack)
-        if run_time_s is None or is_slowed or spec.is_long_running:
+        if run_time_s is None or not _is_comparable(spec, attempt):
             return
         observation = RunTimeObservation(
             queue=progress.job.queue,
             unit=UnitId(progress.job.job, step_key),
             index=key.index,
+            worker=attempt.worker,
             declared_s=spec.estimate_s,
             run_time_s=run_time_s,
         )
         self.run_times.partial_fit([observation])
 
+    def _observe_speed(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: jobs.Attempt,
+        run_time_s: float,
+    ) -> None:
+        """Updates the speed of a worker from progress between two reports.
+
+        Args:
+            progress: the job.
+            key: the task.
+            attempt: its run.
+            run_time_s: run time, in seconds, extrapolated from that progress.
+        """
+        step_key = jobs.StepKey(key.occurrence, key.step)
+        spec = progress.spec_of(step_key)
+        if not _is_comparable(spec, attempt):
+            return
+        queue = progress.job.queue
+        sibling_s = self.run_times.sibling_run_time_s(
+            queue, UnitId(progress.job.job, step_key), attempt.worker
+        )
+        expected_s = sibling_s or self.run_times.run_time_s(
+            queue, spec.estimate_s
+        )
+        observation = SpeedObservation(
+            worker=attempt.worker,
+            ratio=expected_s / run_time_s,
+            is_relative=sibling_s is not None,
+            at_s=self.clock.now(),
+        )
+        self.speeds.partial_fit([observation])
+
     def _settle_by_stop(
         self, progress: JobProgress, key: TaskKey, requested_at_s: float
     ) -> None:
@@ -171,6 +214,15 @@
         self.sender.send_stop(progress, key, attempt, StopCause.UNSETTLED)
 
 
+def _is_comparable(spec: jobs.StepSpec, attempt: jobs.Attempt) -> bool:
+    """Returns whether a run shows the run time of its step and its worker."""
+    if spec.is_long_running:
+        return False
+    if attempt.is_off_rack is None:
+        return not (spec.same_rack or spec.data_rack)
+    return not attempt.is_off_rack
+
+
 def _make_expected_run(
     progress: JobProgress, key: TaskKey, attempt: jobs.Attempt
 ) -> _reconcile.ExpectedRun:
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -19,6 +19,7 @@
     Demand,
     RunTimeEstimator,
     Snapshot,
+    SpeedEstimator,
     TrustEstimator,
     UnitId,
 )
@@ -38,6 +39,7 @@
         table: the jobs.
         trust: estimates the suspicion of workers.
         run_times: predicts run times from declared ones.
+        speeds: estimates the speeds of workers.
         restore_s: time to resume from a checkpoint, in seconds.
         configuration: returns the configuration in force.
         removed_zones: returns the zones in which nothing may start.
@@ -49,6 +51,7 @@
         table: JobTable,
         trust: TrustEstimator,
         run_times: RunTimeEstimator,
+        speeds: SpeedEstimator,
         restore_s: float,
         configuration: Callable[[], Configuration | None],
         removed_zones: Callable[[], frozenset[ZoneId]],
@@ -56,6 +59,7 @@
         self.table = table
         self.trust = trust
         self.run_times = run_times
+        self.speeds = speeds
         self.restore_s = restore_s
         self.configuration = configuration
         self.removed_zones = removed_zones
@@ -114,6 +118,8 @@
             capacity=listed.capacity,
             is_schedulable=link.is_schedulable and is_trusted and is_allowed,
             suspicion=round(suspicion, 1),
+            speed=round(self.speeds.speed(listed.worker, now_s), 2),
+            is_overdue=link.is_overdue,
         )
 
     def _iter_allocations(
--- a/magnoliaglade/coordinator/_watchdog.py
+++ b/magnoliaglade/coordinator/_watchdog.py
@@ -23,6 +23,10 @@
 # covers the wait of one poll, the timeout of its call and the delay after a
 # failed call.
 MAX_REPORT_GAP_S = 2.0
+# Shortest time between two reports, in seconds, and smallest progress, in
+# percent, from which a run time is extrapolated.
+MIN_SPEED_INTERVAL_S = 0.4
+MIN_INTERVAL_PERCENT = 1.0
 # Runs are stopped this long before their worker leaves, in seconds, plus the
 # time that a stop takes.
 DEPARTURE_MARGIN_S = 0.4
@@ -59,6 +63,29 @@
     attempt.reported_ms = reported_ms
 
 
+def interval_run_time_s(
+    attempt: Attempt, *, percent: float, reported_ms: int
+) -> float | None:
+    """Returns the run time extrapolated from progress since the last report.
+
+    Args:
+        attempt: the run, before the report is applied.
+        percent: percentage of the work that is done.
+        reported_ms: the worker's clock at the report, in milliseconds.
+
+    Returns:
+        The run time in seconds; None without enough progress, or if the time
+        between the reports is too short or too long to measure it.
+    """
+    interval_s = (reported_ms - attempt.reported_ms) / 1000.0
+    progressed = percent - attempt.percent
+    is_first = not attempt.reported_ms
+    is_measurable = MIN_SPEED_INTERVAL_S <= interval_s <= MAX_REPORT_GAP_S
+    if is_first or not is_measurable or percent >= 100.0:
+        return None
+    return interval_s * 100.0 / max(progressed, MIN_INTERVAL_PERCENT)
+
+
 def stalled_runs(spec: StepSpec, attempts: Iterable[Attempt]) -> list[Attempt]:
     """Returns the stalled runs that delay a step.
 
--- a/magnoliaglade/coordinator/_worker_registry.py
+++ b/magnoliaglade/coordinator/_worker_registry.py
@@ -28,6 +28,7 @@
         links: links by worker.
         table: the jobs.
         trust: trust estimate of the workers.
+        speeds: estimate of the workers' speeds.
         clock: source of time.
         owner: coordinator that the links report to.
         connect: returns a client for a worker.
@@ -44,6 +45,7 @@
         links: dict[WorkerId, WorkerLink],
         table: JobTable,
         trust: placement.TrustEstimator,
+        speeds: placement.SpeedEstimator,
         clock: clock_lib.Clock,
         owner: LinkOwner,
         connect: Callable[[ListedWorker], fleet.WorkerClient],
@@ -55,6 +57,7 @@
         self.links = links
         self.table = table
         self.trust = trust
+        self.speeds = speeds
         self.clock = clock
         self.owner = owner
         self.connect = connect
@@ -111,6 +114,7 @@
                 if not is_needed:
                     del self.links[worker]
                     self.trust.reset_worker(worker)
+                    self.speeds.reset_worker(worker)
                     await link.stop()
         self._end_unreachable_runs(now_s)
 
--- a/magnoliaglade/coordinator/tests/test_election.py
+++ b/magnoliaglade/coordinator/tests/test_election.py
@@ -5,6 +5,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import coordinator, store
+from magnoliaglade.coordinator import _election
 from magnoliaglade.jobs import keys
 from magnoliaglade.standins import FaultyStore
 from magnoliaglade.types import InstanceId
@@ -114,8 +115,11 @@
         before = set(candidates.elected)
         for faulty in candidates.stores:
             faulty.is_down = True
+        outage_s = _election.LEASE_TTL_S - (
+            _election.RENEW_INTERVAL_S + _election.RENEW_RETRY_DELAY_S
+        )
         for _ in range(10):
-            await candidates.clock.advance(0.1)
+            await candidates.clock.advance(outage_s / 10)
         for faulty in candidates.stores:
             faulty.is_down = False
         await candidates.advance(0.8)
--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -22,6 +22,7 @@
     RunTimeEstimator,
     RunTimeObservation,
 )
+from magnoliaglade.placement._speeds import SpeedEstimator, SpeedObservation
 from magnoliaglade.placement._trust import (
     Evidence,
     Observation,
@@ -41,6 +42,8 @@
     "RunTimeEstimator",
     "RunTimeObservation",
     "Snapshot",
+    "SpeedEstimator",
+    "SpeedObservation",
     "Start",
     "Timeliness",
     "TrustEstimator",
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -39,6 +39,8 @@
         is_schedulable: the worker may be given tasks now.
         suspicion: suspicion level, 0 for a healthy worker; workers with higher
             levels are used later.
+        speed: estimated speed; 1 for an average worker.
+        is_overdue: an answer of the worker is overdue.
     """
 
     worker: WorkerId
@@ -49,6 +51,8 @@
     capacity: Resources
     is_schedulable: bool
     suspicion: float = 0.0
+    speed: float = 1.0
+    is_overdue: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -13,6 +13,18 @@
 
 Slots = Callable[[WorkerId], int]
 
+# Speeds in this range are not distinguished when urgent tasks are placed: the
+# estimates are about as exact.
+SPEED_STEP = 0.2
+# Speed below which a worker counts as slow: urgent tasks there miss their
+# objective, and other tasks go elsewhere if they can.
+SLOW_SPEED = 0.6
+
+
+def is_unfit_for_urgent_work(candidate: Candidate) -> bool:
+    """Returns whether urgent tasks on a worker are likely to be late."""
+    return candidate.is_overdue or candidate.speed < SLOW_SPEED
+
 
 def pack(
     demand: Demand,
@@ -69,18 +81,28 @@
 
 def _preference(
     candidate: Candidate, demand: Demand, tracker: CapacityTracker
-) -> tuple[float, bool, int, int]:
+) -> tuple[float, bool, int, int, int]:
     free = tracker.free[candidate.worker]
     need = demand.resources.accelerators
     unused_accelerators = free.accelerators % need if need else 0
     return (
         candidate.suspicion,
         bool(demand.data_rack) and demand.data_rack not in candidate.labels,
+        _slowness(candidate, demand),
         unused_accelerators,
         free.accelerators,
     )
 
 
+def _slowness(candidate: Candidate, demand: Demand) -> int:
+    """Returns a level of slowness; urgent tasks distinguish more levels."""
+    if is_unfit_for_urgent_work(candidate):
+        return 10
+    if demand.priority > 0:
+        return 0
+    return -round(candidate.speed / SPEED_STEP)
+
+
 def _free_accelerators_by_rack(
     candidates: Sequence[Candidate], tracker: CapacityTracker
 ) -> collections.Counter[RackId]:
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -123,6 +123,11 @@
             allocations=snapshot.allocations
         )
         self._rejections = RejectionCache()
+        self._unfit = frozenset(
+            c.worker
+            for c in snapshot.candidates
+            if _packing.is_unfit_for_urgent_work(c)
+        )
 
     def build(self) -> Plan:
         ordered = _order.order_demands(
@@ -135,7 +140,7 @@
             remaining = demand
             if demand.unit in claims:
                 remaining = self._use_claim(demand, claims[demand.unit])
-            if remaining.indexes:
+            if remaining.indexes and not self._place_on_fit_workers(remaining):
                 self._place(remaining)
         return Plan(
             starts=tuple(self.starts),
@@ -145,6 +150,23 @@
             is_complete=self.searches <= self.planner.max_searches,
         )
 
+    def _place_on_fit_workers(self, demand: Demand) -> bool:
+        """Places an urgent gang on workers that are likely to be in time.
+
+        Returns:
+            Whether the gang was started or capacity was freed for it.
+        """
+        if demand.priority > 0 or not demand.is_gang or not self._unfit:
+            return False
+        excluded = demand.excluded_workers | self._unfit
+        fit_only = dataclasses.replace(demand, excluded_workers=excluded)
+        if self._rejections.covers(fit_only):
+            return False
+        if self._place_gang(fit_only):
+            return True
+        self._rejections.add(fit_only)
+        return False
+
     def _place(self, demand: Demand) -> None:
         if self._rejections.covers(demand):
             is_placed = False
--- a/magnoliaglade/placement/_run_times.py
+++ b/magnoliaglade/placement/_run_times.py
@@ -14,7 +14,7 @@
 from magnoliaglade import base
 from magnoliaglade.jobs import Job
 from magnoliaglade.placement._model import UnitId
-from magnoliaglade.types import QueueName
+from magnoliaglade.types import QueueName, WorkerId
 
 # Step runs that an estimate is based on, for each queue; older ones are
 # dropped, so that the estimate follows a changing load.
@@ -38,6 +38,7 @@
         queue: queue of the job.
         unit: step run that the task belongs to.
         index: index of the task.
+        worker: worker that runs the task.
         declared_s: declared run time in seconds.
         run_time_s: observed run time in seconds, extrapolated from progress
             while the task runs.
@@ -46,6 +47,7 @@
     queue: QueueName
     unit: UnitId
     index: int
+    worker: WorkerId
     declared_s: float
     run_time_s: float
 
@@ -56,15 +58,26 @@
 
     declared_log: float
     observed_logs: dict[int, float] = dataclasses.field(default_factory=dict)
+    workers: dict[int, WorkerId] = dataclasses.field(default_factory=dict)
     total: float = 0.0
 
     @property
     def mean_log(self) -> float:
         return self.total / len(self.observed_logs)
 
-    def set(self, index: int, observed_log: float) -> None:
+    def set(self, index: int, worker: WorkerId, observed_log: float) -> None:
         self.total += observed_log - self.observed_logs.get(index, 0.0)
         self.observed_logs[index] = observed_log
+        self.workers[index] = worker
+
+    def mean_log_elsewhere(self, worker: WorkerId) -> float | None:
+        """Returns the mean of the tasks on other workers; None without any."""
+        found = [
+            observed_log
+            for index, observed_log in self.observed_logs.items()
+            if self.workers[index] != worker
+        ]
+        return sum(found) / len(found) if found else None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -145,6 +158,23 @@
             self._fits[queue] = self._fit(self.records_[queue].values())
         return math.exp(self._fits[queue].predict(_log(declared_s)))
 
+    def sibling_run_time_s(
+        self, queue: QueueName, unit: UnitId, worker: WorkerId
+    ) -> float | None:
+        """Returns the observed run time of a step on other workers.
+
+        Args:
+            queue: queue of the job.
+            unit: the step run.
+            worker: worker whose tasks are left out.
+
+        Returns:
+            The geometric mean in seconds, or None without observations.
+        """
+        record = self.records_.get(queue, {}).get(unit)
+        mean_log = record.mean_log_elsewhere(worker) if record else None
+        return None if mean_log is None else math.exp(mean_log)
+
     def step_run_times_s(self, job: Job) -> list[float]:
         """Returns the expected run time, in seconds, of a task of each step."""
         return [
@@ -163,7 +193,9 @@
                 declared_log=_log(observation.declared_s)
             )
         records[observation.unit].set(
-            observation.index, _log(observation.run_time_s)
+            observation.index,
+            observation.worker,
+            _log(observation.run_time_s),
         )
         while len(records) > self.max_units:
             records.popitem(last=False)
--- a/magnoliaglade/placement/tests/test_run_times.py
+++ b/magnoliaglade/placement/tests/test_run_times.py
@@ -7,7 +7,7 @@
 from magnoliaglade import placement
 from magnoliaglade.jobs import Resources, StepKey
 from magnoliaglade.standins import pool
-from magnoliaglade.types import JobId, QueueName
+from magnoliaglade.types import JobId, QueueName, WorkerId
 
 QUEUE = QueueName("urgent")
 
@@ -19,6 +19,7 @@
                 queue=queue,
                 unit=placement.UnitId(JobId(name), StepKey(0, 0)),
                 index=index,
+                worker=WorkerId(f"w{index}"),
                 declared_s=declared_s,
                 run_time_s=run_time_s,
             )
--- a/magnoliaglade/standins/pool.py
+++ b/magnoliaglade/standins/pool.py
@@ -254,6 +254,7 @@
                     queue=job.queue,
                     unit=job.unit,
                     index=0,
+                    worker=WorkerId(""),
                     declared_s=job.estimate_s,
                     run_time_s=job.work_s,
                 )
