Ask vanished workers at the address in the record of their runs

Change: the record of a run holds the worker's address. The successor polls it there; another worker at that address proves that the run has ended, as it did before for workers that had a link. A worker that answers keeps its runs.

--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -181,7 +181,7 @@
         task_keys = self.table.add_planned_runs(
             progress, start.unit.step, placed, now_s=wall_s
         )
-        self._mark_off_rack(progress, task_keys, is_spread=start.is_spread)
+        self._describe_place(progress, task_keys, is_spread=start.is_spread)
         self.on_planned(progress)
         members = [
             (key, task.attempt)
@@ -205,21 +205,24 @@
             return [_StartGroup(progress=progress, members=members)]
         return [_StartGroup(progress=progress, members=[m]) for m in members]
 
-    def _mark_off_rack(
+    def _describe_place(
         self,
         progress: JobProgress,
         task_keys: list[TaskKey],
         *,
         is_spread: bool,
     ) -> None:
-        """Records which planned runs are slowed down by their place."""
+        """Records the workers' addresses and which runs they slow down."""
         for key in task_keys:
             task = progress.task(key)
             if task is None or task.attempt is None:
                 continue
             spec = progress.job.spec.steps[key.step]
-            labels = self.links[task.attempt.worker].listed.labels
-            is_far = bool(spec.data_rack) and spec.data_rack not in labels
+            listed = self.links[task.attempt.worker].listed
+            task.attempt.address = listed.address
+            is_far = (
+                bool(spec.data_rack) and spec.data_rack not in listed.labels
+            )
             task.attempt.is_off_rack = is_far or (spec.same_rack and is_spread)
 
     async def _send_starts(
--- a/magnoliaglade/coordinator/_worker_registry.py
+++ b/magnoliaglade/coordinator/_worker_registry.py
@@ -14,7 +14,7 @@
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.fleet import ListedWorker
 from magnoliaglade.jobs import AttemptState, JobProgress, TaskKey
-from magnoliaglade.types import WorkerId
+from magnoliaglade.types import RackId, WorkerId, ZoneId
 
 # Interval between reads of the list of workers in seconds. A draining worker
 # must get no work two seconds after it announces the drain.
@@ -116,8 +116,25 @@
                     self.trust.reset_worker(worker)
                     self.speeds.reset_worker(worker)
                     await link.stop()
+        self._ask_unlisted_workers()
         self._end_unreachable_runs(now_s)
 
+    def _ask_unlisted_workers(self) -> None:
+        """Opens links to workers that have runs but were never listed here.
+
+        Handles workers that vanish shortly before a takeover. The address in
+        the record of the run tells whether the worker still answers there, or
+        has been replaced by another, which proves that its runs have ended.
+        """
+        for worker in self.table.workers():
+            if worker in self.links:
+                continue
+            for progress, _, attempt in self.table.attempts_on(worker):
+                if attempt.address:
+                    self._add_link(_make_unlisted(progress, attempt))
+                    self.links[worker].is_listed = False
+                    break
+
     def _add_link(self, entry: ListedWorker) -> None:
         lease = fleet.LeaseBound(longest_lease_s=self.longest_lease_s)
         # An earlier coordinator may have renewed the lease up to now, or may
@@ -166,3 +183,19 @@
             latest_end_s = link.lease.ends_at_s + MAX_ORDER_DELAY_S
             return has_expired and now_s > latest_end_s - self.longest_lease_s
         return has_expired
+
+
+def _make_unlisted(
+    progress: JobProgress, attempt: jobs.Attempt
+) -> ListedWorker:
+    """Returns an entry for a worker that is known from a run's record only."""
+    return ListedWorker(
+        worker=attempt.worker,
+        lifetime=attempt.lifetime,
+        address=attempt.address,
+        service=progress.job.service,
+        zone=ZoneId(""),
+        rack=RackId(""),
+        labels=frozenset(),
+        capacity=jobs.Resources(),
+    )
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -1,8 +1,9 @@
 """Unresponsive, slow and paused workers and coordinators."""
 
+import msgpack
 import pytest
 
-from magnoliaglade import store
+from magnoliaglade import jobs, store
 from magnoliaglade.coordinator.tests import harness
 from magnoliaglade.jobs import JobState
 
@@ -98,6 +99,51 @@
         assert [s.run for s in deployment.starts(job)] == [1, 2]
 
 
+class TestVanishedBeforeTakeover:
+    """A worker leaves the list before its coordinator is killed."""
+
+    async def take_over(self, deployment, *, is_replaced):
+        first = await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        (holder,) = deployment.workers_running(f"{job}.0.0.0")
+        deployment.engines[holder].faults.is_replaced = is_replaced
+        deployment.unlisted.add(holder)
+        await deployment.kill(first)
+        await deployment.elect()
+        return job
+
+    async def test_runs_are_lost_once_another_worker_has_the_address(
+        self, deployment
+    ):
+        # Guards against urgent jobs that wait for 14 s until every lease that
+        # the predecessor may have granted has ended.
+        job = await self.take_over(deployment, is_replaced=True)
+        await deployment.clock.advance(2.0)
+        assert [s.run for s in deployment.starts(job)] == [1, 2]
+
+    async def test_runs_of_a_worker_that_answers_go_on(self, deployment):
+        job = await self.take_over(deployment, is_replaced=False)
+        await deployment.clock.advance(20.0)
+        assert [s.run for s in deployment.starts(job)] == [1]
+        assert await deployment.state(job) is JobState.COMPLETED
+
+    async def test_record_without_an_address_is_read(self, deployment):
+        first = await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        progress = first.table.jobs[job]
+        fields = msgpack.unpackb(
+            jobs.encode_progress(progress), strict_map_key=False
+        )
+        for _, _, *step in fields["steps"]:
+            for row in step[3]:
+                del row[-1]
+        old = jobs.decode_progress(msgpack.packb(fields), job=progress.job)
+        ((_, attempt),) = old.attempts()
+        assert (attempt.run, attempt.address) == (1, "")
+
+
 def order_epochs(deployment):
     return [o.epoch for e in deployment.engines.values() for o in e.orders]
 
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -66,6 +66,7 @@
         worker: the worker.
         lifetime: lifetime of the worker for which the run was planned.
         state: last known state.
+        address: address of the worker when the run was planned; "" if unknown.
         started_at_s: wall time of the plan, seconds since 1970; 0 if restored
             from a record.
         settled_at_s: monotonic time from which the start order can no longer
@@ -88,6 +89,7 @@
     worker: WorkerId
     lifetime: Lifetime
     state: AttemptState
+    address: str = ""
     started_at_s: float = 0.0
     settled_at_s: float | None = None
     call_ended_at_s: float = float("inf")
--- a/magnoliaglade/jobs/_records.py
+++ b/magnoliaglade/jobs/_records.py
@@ -154,7 +154,7 @@
 def _encode_attempt(attempt: Attempt | None) -> list[Any]:
     if attempt is None:
         return []
-    return [attempt.run, attempt.worker, attempt.lifetime]
+    return [attempt.run, attempt.worker, attempt.lifetime, attempt.address]
 
 
 def _decode_step_progress(fields: list[Any], count: int) -> StepProgress:
@@ -179,7 +179,8 @@
 def _decode_attempt(fields: list[Any]) -> Attempt | None:
     if not fields:
         return None
-    run, worker, lifetime = fields
+    # Records of earlier versions have no address.
+    run, worker, lifetime, *address = fields
     # The coordinator that wrote the record may have sent the start order after
     # storing it. Its epoch is over, so none of its orders can still start a
     # run unnoticed.
@@ -187,6 +188,7 @@
         run=run,
         worker=WorkerId(worker),
         lifetime=Lifetime(lifetime),
+        address=address[0] if address else "",
         state=AttemptState.SENT,
         settled_at_s=float("-inf"),
     )
