Repeat unanswered start orders

Cause: a worker that leaves one order of a gang unanswered, and carries it out seconds later, ends the whole gang: the other members wait for their time limit and end alone.

Change: the order is sent up to three times, each with the timeout of a call. It names the run, so the run starts at most once; only a confirmation settles it. test_repeated_order_starts_the_gang fails with one call.

--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -31,6 +31,12 @@
 )
 
 
+# Number of times that an unanswered start order is sent. With the timeout of a
+# call, all of them stay well below the time for which a gang waits for its
+# members.
+MAX_START_CALLS = 3
+
+
 class OrderSender:
     """Sends start and stop orders, each in a task of its own.
 
@@ -162,15 +168,51 @@
             self._log_start(progress, key, attempt, repr(error))
             self.on_end(progress, key, attempt.run, RunOutcome.LOST)
         except Exception as error:
-            # The next report shows whether the run exists. Unexpected errors
-            # are handled in the same way; otherwise the run would stay
-            # unsettled forever.
-            attempt.call_ended_at_s = self.clock.now()
+            # Unexpected errors are handled like missing answers; otherwise the
+            # run would stay unsettled forever.
             link.start_cooldown()
             self._log_start(progress, key, attempt, repr(error))
+            await self._repeat_start(progress, key, attempt, link, may_send)
+            # The next report shows whether the run exists.
+            attempt.call_ended_at_s = self.clock.now()
         else:
             self._handle_start_reply(progress, key, attempt, link, reply)
 
+    async def _repeat_start(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        link: WorkerLink,
+        may_send: fleet.MaySend,
+    ) -> None:
+        """Sends an unanswered start order again.
+
+        Handles workers that leave orders unanswered: the other members of a
+        gang wait for the missing one, and all of them end without it. The order
+        starts the run at most once, since it names the run. Only a confirmation
+        settles the run, as an earlier call may still take effect.
+        """
+        for _ in range(MAX_START_CALLS - 1):
+            is_waiting = (
+                _is_current(progress, key, attempt)
+                and attempt.state is AttemptState.SENT
+                and link.lifetime == attempt.lifetime
+            )
+            if not is_waiting:
+                return
+            try:
+                reply = await self._request_start(
+                    progress, key, attempt, link, may_send
+                )
+            except Exception as error:
+                self._log_start(progress, key, attempt, repr(error))
+                continue
+            self._log_start(progress, key, attempt, reply.outcome.value)
+            if reply.outcome in (OrderOutcome.DONE, OrderOutcome.FENCED):
+                self._handle_start_reply(progress, key, attempt, link, reply)
+                return
+
     async def _request_start(
         self,
         progress: JobProgress,
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -42,6 +42,7 @@
         is_cut: calls do not arrive.
         loses_answers: calls are done and not answered.
         defers_orders: orders are not answered and wait in `deferred`.
+        deferred_orders: number of coming orders that are handled so.
         fails_all: every run ends as failed.
         stands_still: runs make no progress.
         is_replaced: another worker answers at its address.
@@ -52,6 +53,7 @@
     is_cut: bool = False
     loses_answers: bool = False
     defers_orders: bool = False
+    deferred_orders: int = 0
     fails_all: bool = False
     stands_still: bool = False
     is_ahead: bool = False
@@ -197,7 +199,8 @@
         self.orders.append(
             OrderRecord(epoch=order.epoch, at_s=self.clock.now())
         )
-        if self.faults.defers_orders:
+        if self.faults.defers_orders or self.faults.deferred_orders > 0:
+            self.faults.deferred_orders -= 1
             self.deferred.append(order)
             raise fleet.OrderOutcomeUnknownError("deferred")
         outcome = self._start(order)
