--- a/magnoliaglade/coordinator/_watchdog.py
+++ b/magnoliaglade/coordinator/_watchdog.py
@@ -1,7 +1,9 @@
-"""Finds stalled runs and runs whose worker leaves before they can end.
+"""Judges runs by their reported progress.
 
-Pure functions, for workers that keep answering while their tasks make no
-progress, and for workers that leave before their tasks can end.
+Finds stalled runs and runs whose worker leaves before they can end, and
+measures how fast a run advances between two reports. Pure functions, for
+workers that keep answering while their tasks make no progress, and for workers
+that leave before their tasks can end.
 
 Only reports are evidence of a stall, and the time between them is measured on
 the worker's clock: an unresponsive worker, a slow connection or event-loop lag
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -81,7 +81,7 @@
 
 def _preference(
     candidate: Candidate, demand: Demand, tracker: CapacityTracker
-) -> tuple[float, bool, int, int, int]:
+) -> tuple[float, bool, float, int, int]:
     free = tracker.free[candidate.worker]
     need = demand.resources.accelerators
     unused_accelerators = free.accelerators % need if need else 0
@@ -94,12 +94,16 @@
     )
 
 
-def _slowness(candidate: Candidate, demand: Demand) -> int:
-    """Returns a level of slowness; urgent tasks distinguish more levels."""
+def _slowness(candidate: Candidate, demand: Demand) -> float:
+    """Returns a sort key: fast workers first for urgent tasks.
+
+    Other tasks only avoid workers that are unfit for urgent ones, so that they
+    are packed densely.
+    """
     if is_unfit_for_urgent_work(candidate):
-        return 10
+        return float("inf")
     if demand.priority > 0:
-        return 0
+        return 0.0
     return -round(candidate.speed / SPEED_STEP)
 
 
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -123,7 +123,7 @@
             allocations=snapshot.allocations
         )
         self._rejections = RejectionCache()
-        self._unfit = frozenset(
+        self._unfit_workers = frozenset(
             c.worker
             for c in snapshot.candidates
             if _packing.is_unfit_for_urgent_work(c)
@@ -156,9 +156,9 @@
         Returns:
             Whether the gang was started or capacity was freed for it.
         """
-        if demand.priority > 0 or not demand.is_gang or not self._unfit:
+        if demand.priority > 0 or not demand.is_gang or not self._unfit_workers:
             return False
-        excluded = demand.excluded_workers | self._unfit
+        excluded = demand.excluded_workers | self._unfit_workers
         fit_only = dataclasses.replace(demand, excluded_workers=excluded)
         if self._rejections.covers(fit_only):
             return False
--- a/magnoliaglade/placement/_run_times.py
+++ b/magnoliaglade/placement/_run_times.py
@@ -65,7 +65,8 @@
     def mean_log(self) -> float:
         return self.total / len(self.observed_logs)
 
-    def set(self, index: int, worker: WorkerId, observed_log: float) -> None:
+    def add(self, index: int, worker: WorkerId, observed_log: float) -> None:
+        """Adds the observation of a task; replaces an earlier one."""
         self.total += observed_log - self.observed_logs.get(index, 0.0)
         self.observed_logs[index] = observed_log
         self.workers[index] = worker
@@ -192,7 +193,7 @@
             records[observation.unit] = _UnitRecord(
                 declared_log=_log(observation.declared_s)
             )
-        records[observation.unit].set(
+        records[observation.unit].add(
             observation.index,
             observation.worker,
             _log(observation.run_time_s),
