Store workers' addresses where earlier versions ignore them

The address in the row of a run made progress records unreadable for instances of the version before, which would drop those jobs after a takeover during an upgrade. A map from worker to address beside the rows is ignored by them. Found by reading; test_earlier_versions_read_the_rows_of_runs fails before.

--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -136,12 +136,27 @@
         fields = msgpack.unpackb(
             jobs.encode_progress(progress), strict_map_key=False
         )
-        for _, _, *step in fields["steps"]:
-            for row in step[3]:
-                del row[-1]
+        (address,) = fields.pop("addresses").values()
         old = jobs.decode_progress(msgpack.packb(fields), job=progress.job)
         ((_, attempt),) = old.attempts()
         assert (attempt.run, attempt.address) == (1, "")
+        new = jobs.decode_progress(
+            jobs.encode_progress(progress), job=progress.job
+        )
+        ((_, attempt),) = new.attempts()
+        assert attempt.address == address
+
+    async def test_earlier_versions_read_the_rows_of_runs(self, deployment):
+        # Guards against jobs that an instance of the version before cannot
+        # read when it takes over during an upgrade.
+        first = await deployment.elect()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(1.0)
+        record = jobs.encode_progress(first.table.jobs[job])
+        fields = msgpack.unpackb(record, strict_map_key=False)
+        assert fields["format"] == 1
+        ((_, _, *_, rows),) = fields["steps"]
+        assert [len(row) for row in rows] == [8]
 
 
 def order_epochs(deployment):
--- a/magnoliaglade/jobs/_records.py
+++ b/magnoliaglade/jobs/_records.py
@@ -70,6 +70,12 @@
                 [*key, *_encode_step(step)]
                 for key, step in progress.steps.items()
             ],
+            # Decoders of earlier versions ignore this field.
+            "addresses": {
+                attempt.worker: attempt.address
+                for _, attempt in progress.attempts()
+                if attempt.address
+            },
         }
     )
 
@@ -91,6 +97,9 @@
             count = job.spec.steps[number].count
             key = StepKey(occurrence, number)
             progress.steps[key] = _decode_step_progress(rest, count)
+        addresses = fields.get("addresses", {})
+        for _, attempt in progress.attempts():
+            attempt.address = addresses.get(attempt.worker, "")
         return progress
     except _DECODE_ERRORS as error:
         raise RecordError(
@@ -117,6 +126,7 @@
 _DECODE_ERRORS = (
     ValueError,
     TypeError,
+    AttributeError,
     KeyError,
     IndexError,
     msgpack.UnpackException,
@@ -154,7 +164,7 @@
 def _encode_attempt(attempt: Attempt | None) -> list[Any]:
     if attempt is None:
         return []
-    return [attempt.run, attempt.worker, attempt.lifetime, attempt.address]
+    return [attempt.run, attempt.worker, attempt.lifetime]
 
 
 def _decode_step_progress(fields: list[Any], count: int) -> StepProgress:
@@ -179,8 +189,7 @@
 def _decode_attempt(fields: list[Any]) -> Attempt | None:
     if not fields:
         return None
-    # Records of earlier versions have no address.
-    run, worker, lifetime, *address = fields
+    run, worker, lifetime = fields
     # The coordinator that wrote the record may have sent the start order after
     # storing it. Its epoch is over, so none of its orders can still start a
     # run unnoticed.
@@ -188,7 +197,6 @@
         run=run,
         worker=WorkerId(worker),
         lifetime=Lifetime(lifetime),
-        address=address[0] if address else "",
         state=AttemptState.SENT,
         settled_at_s=float("-inf"),
     )
