Simplify the code of learned run times, speeds and placement

Found by reading the change again; no change of behaviour.

- Planner: fit workers and all workers go through one _try_to_place; a demand that a rejection covers is not added to the cache again.
- PrefixWatcher: a lost history needs no path of its own, as the next update is a full read.
- Job.chain_lengths_s is computed once for a job and plan; before, the critical path was computed for each root and each ready step, and the run times twice.
- ReportHandler: one method for both estimates; the observation at the end of a run repeated that of its last report.
PlanRunner looks up planned runs once.
- The limits of interval_run_time_s are described as they are.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -410,9 +410,10 @@
         job = progress.job.job
         self._housekeeping.record_job_end(job)
         self.table.update_active(job)
+        run_times_s = self.run_times.step_run_times_s(progress.job)
         arrived_at_s = progress.job.arrived_at_s(0)
         objective_at_s = progress.job.objective_at_s(
-            0, self.run_times.step_run_times_s(progress.job)
+            0, progress.job.chain_lengths_s(run_times_s)
         )
         observability.log_event(
             "job",
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -181,13 +181,15 @@
         task_keys = self.table.add_planned_runs(
             progress, start.unit.step, placed, now_s=wall_s
         )
-        self._describe_place(progress, task_keys, is_spread=start.is_spread)
-        self.on_planned(progress)
         members = [
             (key, task.attempt)
             for key in task_keys
             if (task := progress.task(key)) and task.attempt
         ]
+        spec = progress.spec_of(start.unit.step)
+        for _, attempt in members:
+            self._describe_place(spec, attempt, is_spread=start.is_spread)
+        self.on_planned(progress)
         observability.log_event(
             "placement",
             job=progress.job.job,
@@ -201,29 +203,18 @@
                 3,
             ),
         )
-        if progress.spec_of(start.unit.step).is_gang:
+        if spec.is_gang:
             return [_StartGroup(progress=progress, members=members)]
         return [_StartGroup(progress=progress, members=[m]) for m in members]
 
     def _describe_place(
-        self,
-        progress: JobProgress,
-        task_keys: list[TaskKey],
-        *,
-        is_spread: bool,
+        self, spec: jobs.StepSpec, attempt: jobs.Attempt, *, is_spread: bool
     ) -> None:
-        """Records the workers' addresses and which runs they slow down."""
-        for key in task_keys:
-            task = progress.task(key)
-            if task is None or task.attempt is None:
-                continue
-            spec = progress.job.spec.steps[key.step]
-            listed = self.links[task.attempt.worker].listed
-            task.attempt.address = listed.address
-            is_far = (
-                bool(spec.data_rack) and spec.data_rack not in listed.labels
-            )
-            task.attempt.is_off_rack = is_far or (spec.same_rack and is_spread)
+        """Records the worker's address and whether the place is slow."""
+        listed = self.links[attempt.worker].listed
+        attempt.address = listed.address
+        is_far = bool(spec.data_rack) and spec.data_rack not in listed.labels
+        attempt.is_off_rack = is_far or (spec.same_rack and is_spread)
 
     async def _send_starts(
         self, groups: list[_StartGroup], position: int
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -84,8 +84,6 @@
             _, progress, attempt = expected[id(item)]
             progress.save_checkpoint(item.key, end.checkpoint)
             self._record_end(progress, item.key, attempt.worker, end.outcome)
-            if end.outcome is RunOutcome.DONE:
-                self._observe_run_time(progress, item.key, attempt)
             self.on_end(progress, item.key, item.run, end.outcome)
         for item, status in result.present:
             _, progress, attempt = expected[id(item)]
@@ -94,11 +92,9 @@
                 attempt, percent=status.percent, reported_ms=report.clock_ms
             )
             self._update_running(attempt, status.percent, report)
-            if interval_run_time_s is not None:
-                self._observe_speed(
-                    progress, item.key, attempt, interval_run_time_s
-                )
-            self._observe_run_time(progress, item.key, attempt)
+            self._observe_progress(
+                progress, item.key, attempt, interval_run_time_s
+            )
         for item in result.lost:
             _, progress, _ = expected[id(item)]
             self.on_end(progress, item.key, item.run, RunOutcome.LOST)
@@ -150,58 +146,53 @@
             attempt, percent=percent, reported_ms=report.clock_ms
         )
 
-    def _observe_run_time(
-        self, progress: JobProgress, key: TaskKey, attempt: jobs.Attempt
-    ) -> None:
-        """Updates the run time estimate of the queue, if there is progress."""
-        step_key = jobs.StepKey(key.occurrence, key.step)
-        spec = progress.spec_of(step_key)
-        run_time_s = attempt.extrapolated_run_time_s
-        if run_time_s is None or not _is_comparable(spec, attempt):
-            return
-        observation = RunTimeObservation(
-            queue=progress.job.queue,
-            unit=UnitId(progress.job.job, step_key),
-            index=key.index,
-            worker=attempt.worker,
-            declared_s=spec.estimate_s,
-            run_time_s=run_time_s,
-        )
-        self.run_times.partial_fit([observation])
-
-    def _observe_speed(
+    def _observe_progress(
         self,
         progress: JobProgress,
         key: TaskKey,
         attempt: jobs.Attempt,
-        run_time_s: float,
+        interval_run_time_s: float | None,
     ) -> None:
-        """Updates the speed of a worker from progress between two reports.
+        """Updates the speed of a worker and the run time of a queue.
 
         Args:
             progress: the job.
             key: the task.
             attempt: its run.
-            run_time_s: run time, in seconds, extrapolated from that progress.
+            interval_run_time_s: run time, in seconds, extrapolated from the
+                progress since the last report; None if it is unknown.
         """
         step_key = jobs.StepKey(key.occurrence, key.step)
         spec = progress.spec_of(step_key)
         if not _is_comparable(spec, attempt):
             return
         queue = progress.job.queue
-        sibling_s = self.run_times.sibling_run_time_s(
-            queue, UnitId(progress.job.job, step_key), attempt.worker
-        )
-        expected_s = sibling_s or self.run_times.run_time_s(
-            queue, spec.estimate_s
-        )
-        observation = SpeedObservation(
-            worker=attempt.worker,
-            ratio=expected_s / run_time_s,
-            is_relative=sibling_s is not None,
-            at_s=self.clock.now(),
-        )
-        self.speeds.partial_fit([observation])
+        unit = UnitId(progress.job.job, step_key)
+        if interval_run_time_s is not None:
+            sibling_s = self.run_times.sibling_run_time_s(
+                queue, unit, attempt.worker
+            )
+            expected_s = sibling_s or self.run_times.run_time_s(
+                queue, spec.estimate_s
+            )
+            speed = SpeedObservation(
+                worker=attempt.worker,
+                ratio=expected_s / interval_run_time_s,
+                is_relative=sibling_s is not None,
+                at_s=self.clock.now(),
+            )
+            self.speeds.partial_fit([speed])
+        run_time_s = attempt.extrapolated_run_time_s
+        if run_time_s is not None:
+            run_time = RunTimeObservation(
+                queue=queue,
+                unit=unit,
+                index=key.index,
+                worker=attempt.worker,
+                declared_s=spec.estimate_s,
+                run_time_s=run_time_s,
+            )
+            self.run_times.partial_fit([run_time])
 
     def _settle_by_stop(
         self, progress: JobProgress, key: TaskKey, requested_at_s: float
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -1,5 +1,6 @@
 """Builds the input of placement from the current state."""
 
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
 from magnoliaglade import observability, supervision
@@ -32,6 +33,21 @@
 _NO_LOST_WORK: Mapping[UnitId, float] = {}
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _PlannableJob:
+    """A job with what all of its allocations and demands share.
+
+    Attributes:
+        progress: the job.
+        run_times_s: expected run time of a task of each step, in seconds.
+        is_protected: the job is within its account's guarantee.
+    """
+
+    progress: JobProgress
+    run_times_s: list[float]
+    is_protected: bool
+
+
 class SnapshotBuilder:
     """Converts jobs and links into the input of placement.
 
@@ -89,12 +105,14 @@
         allocations: list[Allocation] = []
         demands: list[Demand] = []
         for progress in self.table.active_jobs():
-            is_protected = progress.job.job in protected
-            allocations.extend(
-                self._iter_allocations(progress, wall_s, is_protected)
+            plannable = _PlannableJob(
+                progress=progress,
+                run_times_s=self.run_times.step_run_times_s(progress.job),
+                is_protected=progress.job.job in protected,
             )
+            allocations.extend(self._iter_allocations(plannable, wall_s))
             if not progress.state.is_final:
-                demands.extend(self._demands_of(progress, wall_s, is_protected))
+                demands.extend(self._demands_of(plannable, wall_s))
         return Snapshot(
             now_s=wall_s,
             candidates=tuple(self._make_candidate(x, now_s) for x in links),
@@ -123,12 +141,12 @@
         )
 
     def _iter_allocations(
-        self, progress: JobProgress, wall_s: float, is_protected: bool
+        self, plannable: _PlannableJob, wall_s: float
     ) -> Iterable[Allocation]:
-        run_times_s = self.run_times.step_run_times_s(progress.job)
+        progress = plannable.progress
         for key, attempt in progress.attempts():
             spec = progress.job.spec.steps[key.step]
-            run_time_s = run_times_s[key.step]
+            run_time_s = plannable.run_times_s[key.step]
             elapsed_s = max(0.0, wall_s - attempt.started_at_s)
             if not attempt.started_at_s:
                 elapsed_s = run_time_s * attempt.percent / 100.0
@@ -139,7 +157,7 @@
                 demand=spec.demand,
                 priority=progress.job.priority,
                 account=progress.job.account,
-                is_protected=is_protected,
+                is_protected=plannable.is_protected,
                 is_stopping=attempt.state is AttemptState.STOPPING
                 or progress.state.is_final,
                 is_gang=spec.is_gang,
@@ -155,14 +173,14 @@
         return elapsed_s
 
     def _demands_of(
-        self, progress: JobProgress, wall_s: float, is_protected: bool
+        self, plannable: _PlannableJob, wall_s: float
     ) -> list[Demand]:
         """Returns a job's demands; an error excludes this job only."""
-        job = progress.job.job
+        job = plannable.progress.job.job
         if job in self._excluded:
             return []
         try:
-            return list(self._iter_demands(progress, wall_s, is_protected))
+            return list(self._iter_demands(plannable, wall_s))
         except Exception as error:
             self._excluded.add(job)
             observability.log_event(
@@ -174,29 +192,36 @@
             return []
 
     def _iter_demands(
-        self, progress: JobProgress, wall_s: float, is_protected: bool
+        self, plannable: _PlannableJob, wall_s: float
     ) -> Iterable[Demand]:
-        for key in progress.ready_steps(now_s=wall_s):
-            indexes = _waiting_indexes(progress, key)
-            if indexes:
-                yield self._make_demand(progress, key, indexes, is_protected)
+        progress = plannable.progress
+        waiting = [
+            (key, indexes)
+            for key in progress.ready_steps(now_s=wall_s)
+            if (indexes := _waiting_indexes(progress, key))
+        ]
+        if not waiting:
+            return
+        chain_lengths_s = progress.job.chain_lengths_s(plannable.run_times_s)
+        for key, indexes in waiting:
+            yield self._make_demand(plannable, key, indexes, chain_lengths_s)
 
     def _make_demand(
         self,
-        progress: JobProgress,
+        plannable: _PlannableJob,
         key: StepKey,
         indexes: tuple[int, ...],
-        is_protected: bool,
+        chain_lengths_s: list[float],
     ) -> Demand:
+        progress = plannable.progress
         job = progress.job
         spec = progress.spec_of(key)
         arrived_at_s = job.arrived_at_s(key.occurrence)
-        run_times_s = self.run_times.step_run_times_s(job)
-        objective_at_s = job.objective_at_s(key.occurrence, run_times_s)
+        objective_at_s = job.objective_at_s(key.occurrence, chain_lengths_s)
         latest_end_s = arrived_at_s + MAX_LATENESS_FACTOR * (
             objective_at_s - arrived_at_s
         )
-        remaining_s = job.critical_path_s(run_times_s, key.step)
+        remaining_s = chain_lengths_s[key.step]
         return Demand(
             unit=UnitId(job.job, key),
             service=self._service_of(progress),
@@ -210,9 +235,9 @@
             excluded_workers=progress.failed_on(key),
             priority=job.priority,
             account=job.account,
-            is_guaranteed=is_protected,
+            is_guaranteed=plannable.is_protected,
             arrived_at_s=arrived_at_s,
-            estimate_s=run_times_s[key.step],
+            estimate_s=plannable.run_times_s[key.step],
             latest_start_s=objective_at_s - remaining_s,
             latest_useful_start_s=latest_end_s - remaining_s,
         )
--- a/magnoliaglade/coordinator/_watchdog.py
+++ b/magnoliaglade/coordinator/_watchdog.py
@@ -25,8 +25,8 @@
 # covers the wait of one poll, the timeout of its call and the delay after a
 # failed call.
 MAX_REPORT_GAP_S = 2.0
-# Shortest time between two reports, in seconds, and smallest progress, in
-# percent, from which a run time is extrapolated.
+# Shortest time between two reports, in seconds, from which a run time is
+# extrapolated, and the progress, in percent, that less progress counts as.
 MIN_SPEED_INTERVAL_S = 0.4
 MIN_INTERVAL_PERCENT = 1.0
 # Runs are stopped this long before their worker leaves, in seconds, plus the
@@ -76,8 +76,10 @@
         reported_ms: the worker's clock at the report, in milliseconds.
 
     Returns:
-        The run time in seconds; None without enough progress, or if the time
-        between the reports is too short or too long to measure it.
+        The run time in seconds; None for the first report, after all work is
+        done, or if the time between the reports is too short or too long. A run
+        without progress counts as one that has advanced by the resolution of
+        the reports.
     """
     interval_s = (reported_ms - attempt.reported_ms) / 1000.0
     progressed = percent - attempt.percent
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -140,7 +140,7 @@
             remaining = demand
             if demand.unit in claims:
                 remaining = self._use_claim(demand, claims[demand.unit])
-            if remaining.indexes and not self._place_on_fit_workers(remaining):
+            if remaining.indexes:
                 self._place(remaining)
         return Plan(
             starts=tuple(self.starts),
@@ -150,35 +150,30 @@
             is_complete=self.searches <= self.planner.max_searches,
         )
 
-    def _place_on_fit_workers(self, demand: Demand) -> bool:
-        """Places an urgent gang on workers that are likely to be in time.
+    def _place(self, demand: Demand) -> None:
+        """Places a demand, or reserves capacity if it is a gang.
 
-        Returns:
-            Whether the gang was started or capacity was freed for it.
+        Urgent gangs use workers on which they are likely to be late only if
+        they fit nowhere else.
         """
-        if demand.priority > 0 or not demand.is_gang or not self._unfit_workers:
-            return False
-        excluded = demand.excluded_workers | self._unfit_workers
-        fit_only = dataclasses.replace(demand, excluded_workers=excluded)
-        if self._rejections.covers(fit_only):
-            return False
-        if self._place_gang(fit_only):
-            return True
-        self._rejections.add(fit_only)
-        return False
+        is_urgent_gang = demand.is_gang and demand.priority == 0
+        if is_urgent_gang and self._unfit_workers:
+            excluded = demand.excluded_workers | self._unfit_workers
+            fit_only = dataclasses.replace(demand, excluded_workers=excluded)
+            if self._try_to_place(fit_only):
+                return
+        if not self._try_to_place(demand) and demand.is_gang:
+            self._reserve(demand)
 
-    def _place(self, demand: Demand) -> None:
+    def _try_to_place(self, demand: Demand) -> bool:
+        """Returns whether a demand was started or has capacity later."""
         if self._rejections.covers(demand):
-            is_placed = False
-        elif demand.is_gang:
-            is_placed = self._place_gang(demand)
-        else:
-            is_placed = self._place_tasks(demand)
-        if is_placed:
-            return
+            return False
+        place = self._place_gang if demand.is_gang else self._place_tasks
+        if place(demand):
+            return True
         self._rejections.add(demand)
-        if demand.is_gang:
-            self._reserve(demand)
+        return False
 
     def _use_claim(self, demand: Demand, claim: Claim) -> Demand:
         """Starts tasks in claimed capacity, or keeps the claim.
--- a/magnoliaglade/placement/_run_times.py
+++ b/magnoliaglade/placement/_run_times.py
@@ -57,27 +57,24 @@
     """Logarithms of declared and observed run times of one step run."""
 
     declared_log: float
-    observed_logs: dict[int, float] = dataclasses.field(default_factory=dict)
-    workers: dict[int, WorkerId] = dataclasses.field(default_factory=dict)
+    observed: dict[int, tuple[WorkerId, float]] = dataclasses.field(
+        default_factory=dict
+    )
     total: float = 0.0
 
     @property
     def mean_log(self) -> float:
-        return self.total / len(self.observed_logs)
+        return self.total / len(self.observed)
 
     def add(self, index: int, worker: WorkerId, observed_log: float) -> None:
         """Adds the observation of a task; replaces an earlier one."""
-        self.total += observed_log - self.observed_logs.get(index, 0.0)
-        self.observed_logs[index] = observed_log
-        self.workers[index] = worker
+        _, replaced_log = self.observed.get(index, (worker, 0.0))
+        self.total += observed_log - replaced_log
+        self.observed[index] = (worker, observed_log)
 
     def mean_log_elsewhere(self, worker: WorkerId) -> float | None:
         """Returns the mean of the tasks on other workers; None without any."""
-        found = [
-            observed_log
-            for index, observed_log in self.observed_logs.items()
-            if self.workers[index] != worker
-        ]
+        found = [log for w, log in self.observed.values() if w != worker]
         return sum(found) / len(found) if found else None
 
 
--- a/magnoliaglade/store/_prefix_watcher.py
+++ b/magnoliaglade/store/_prefix_watcher.py
@@ -59,17 +59,12 @@
             try:
                 await self.update_once()
             except _errors.HistoryLostError:
-                # The next full read includes the changes that were dropped.
-                await self._reload_or_wait()
+                # The next update is a full read, which includes the changes
+                # that were dropped. The store responds, so it comes at once.
+                continue
             except _errors.StoreError:
                 await self.clock.sleep(self.retry_delay_s)
 
-    async def _reload_or_wait(self) -> None:
-        try:
-            await self.reload()
-        except _errors.StoreError:
-            await self.clock.sleep(self.retry_delay_s)
-
     async def update_once(self) -> None:
         """Reads the prefix, or waits for the next change.
 
