Close the connections of the trickling test server with the test

Cause: TrickleServer.stop left its handlers waiting and their writers open; the garbage collector found them after the test's event loop was closed, in whatever test ran then. Evidence: with a collection forced before and after each test, two tests of http and membership end in that error; with this change none does. Change: stop cancels the handlers and aborts their connections. The checks of the tests are unchanged.

--- a/magnoliaglade/http/tests/test_http.py
+++ b/magnoliaglade/http/tests/test_http.py
@@ -75,6 +75,7 @@
     def __init__(self, *, parts):
         self.parts = parts
         self.may_send = asyncio.Semaphore(0)
+        self._answers = []
 
     async def start(self):
         self.server = await asyncio.start_server(self._answer, "127.0.0.1", 0)
@@ -82,6 +83,7 @@
         return http.HttpClient(url=f"http://127.0.0.1:{port}", timeout_s=1.0)
 
     async def _answer(self, reader, writer):
+        self._answers.append((asyncio.current_task(), writer))
         await reader.readuntil(b"\r\n\r\n")
         size = sum(len(p) for p in self.parts)
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size)
@@ -90,7 +92,12 @@
             writer.write(part)
 
     async def stop(self):
+        """Ends the connections, which must not outlive the event loop."""
         self.server.close()
+        for task, writer in self._answers:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            writer.transport.abort()
 
 
 class TestExtendedTimeout:
