Show a second run after a report that a restarted worker made before the start

Seen: a worker restarts under its id; a report that its new lifetime makes before a start, and that arrives after the start's answer, counts the run as lost. The task is then started on another worker while it runs: [1, 2] in place of [1].

--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -4,6 +4,7 @@
 import pytest
 
 from magnoliaglade import jobs, store
+from magnoliaglade.coordinator._link import OVERDUE_AFTER_S
 from magnoliaglade.coordinator.tests import harness
 from magnoliaglade.jobs import JobState
 
@@ -11,6 +12,8 @@
 # Duration of a disconnection: shorter than the lease of a run, longer than the
 # time after which a run counts as stalled.
 DISCONNECTION_S = 4.4
+# Time from the making of a report to its arrival.
+REPORT_DELAY_S = 0.5
 
 
 @pytest.fixture
@@ -67,6 +70,33 @@
         assert len(deployment.starts(job)) == 3
 
 
+class TestRestartedWorkers:
+    """A worker restarts under its id, and calls reach its new lifetime."""
+
+    async def test_start_between_a_report_and_its_arrival_runs_once(self):
+        # Guards against a run that is counted as lost with the previous
+        # lifetime although the new one carried out its start.
+        deployment = harness.Deployment(workers=2, duration_s=RUN_S)
+        restarted, other = deployment.engines
+        deployment.unlisted.add(other)
+        current = await deployment.elect()
+        await deployment.clock.advance(1.0)
+        engine = deployment.engines[restarted]
+        stale_entry = engine.listed()
+        engine.listed = lambda: stale_entry
+        engine.faults.report_delay_s = REPORT_DELAY_S
+        engine.restart()
+        # The answer to the poll under way is made, and arrives after the start.
+        made_at_s = current.links[restarted].due_at_s - OVERDUE_AFTER_S
+        await deployment.clock.advance(made_at_s - deployment.clock.now() + 0.1)
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.1)
+        deployment.unlisted.clear()
+        await deployment.clock.advance(RUN_S)
+        assert [s.run for s in deployment.starts(job)] == [1]
+        await deployment.stop()
+
+
 class TestReplacedWorkers:
     """Another worker answers at the address: the runs there have ended."""
 
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -48,6 +48,7 @@
         is_replaced: another worker answers at its address.
         is_ahead: runs show 100 percent long before they end, as members of a
             gang do that wait for slower ones.
+        report_delay_s: reports arrive this many seconds after they are made.
     """
 
     is_cut: bool = False
@@ -58,6 +59,7 @@
     stands_still: bool = False
     is_ahead: bool = False
     is_replaced: bool = False
+    report_delay_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -186,7 +188,9 @@
         while not self._has_end() and self.clock.now() < deadline_s:
             await self.clock.sleep(_POLL_S)
         await self._answer()
-        return self._report()
+        report = self._report()
+        await self.clock.sleep(self.faults.report_delay_s)
+        return report
 
     async def start(
         self,
