Log why a run counts as lost, and runs that exist although they count as ended

Cause: a lost run left one 'end' line without its cause, and a run that a worker listed after that was stopped without a line. The four hypotheses of the double run could not be told apart in a log. Change: the end line names one of six causes of a loss. An 'unexpected' line and the counter magnoliaglade_unexpected_runs_total{kind} show runs and ends that workers list though the run counts as ended. No decision changes.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -93,6 +93,8 @@
         observe_plan: called with the duration of each plan, in seconds.
         observe_waste: called with the cause and the core-seconds of wasted
             work.
+        observe_unexpected: called with the kind of each run or end that a
+            worker lists although the run counts as ended.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         planner: placement.Planner,
         observe_plan: Callable[[float], None] = lambda _: None,
         observe_waste: Callable[[str, float], None] = lambda *_: None,
+        observe_unexpected: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -125,6 +128,7 @@
         self.planner = planner
         self.observe_plan = observe_plan
         self.observe_waste = observe_waste
+        self.observe_unexpected = observe_unexpected
         self._waste = WasteLog(observe_waste=observe_waste)
         self.table = JobTable()
         self.trust = placement.TrustEstimator()
@@ -161,6 +165,7 @@
             speeds=self.speeds,
             clock=clock,
             on_end=self._end_run,
+            observe_unexpected=observe_unexpected,
         )
         self._plan_runner = PlanRunner(
             planner=planner,
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -13,6 +13,7 @@
     Attempt,
     AttemptState,
     JobProgress,
+    LossCause,
     RunOutcome,
     StepKey,
     StopCause,
@@ -152,21 +153,21 @@
     ) -> None:
         link = self.links.get(attempt.worker)
         if link is None or link.lifetime != attempt.lifetime:
-            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+            self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
             return
         try:
             reply = await self._request_start(
                 progress, key, attempt, link, may_send
             )
         except fleet.OrderWithheldError:
-            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+            self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
         except (
             fleet.WorkerNotReachedError,
             fleet.WorkerReplacedError,
         ) as error:
             link.start_cooldown()
             self._log_start(progress, key, attempt, repr(error))
-            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+            self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
         except Exception as error:
             # Unexpected errors are handled like missing answers; otherwise the
             # run would stay unsettled forever.
@@ -256,13 +257,23 @@
         attempt.settled_at_s = self.clock.now()
         if reply.outcome in _NOT_STARTED:
             link.start_cooldown()
-            self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+            self._end_lost_run(progress, key, attempt, LossCause.REFUSED)
         elif (
             reply.outcome is OrderOutcome.DONE
             and attempt.state is AttemptState.SENT
         ):
             attempt.state = AttemptState.RUNNING
 
+    def _end_lost_run(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        cause: LossCause,
+    ) -> None:
+        attempt.loss_cause = cause
+        self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+
     def _log_start(
         self,
         progress: JobProgress,
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -241,6 +241,7 @@
             )
             for key, attempt in current:
                 if not is_allowed:
+                    attempt.loss_cause = jobs.LossCause.NOT_SENT
                     self.on_lost(group.progress, key, attempt.run)
                     continue
                 self.sender.send_start(
--- a/magnoliaglade/coordinator/_reconcile.py
+++ b/magnoliaglade/coordinator/_reconcile.py
@@ -46,6 +46,8 @@
         lost: expected runs that are missing and can no longer appear.
         unsettled: expected runs that are missing but may still appear.
         orphans: runs on the worker that are not expected.
+        unexpected_ends: ends that were not applied before, of runs that are
+            not expected.
     """
 
     ended: tuple[tuple[ExpectedRun, RunEnd], ...]
@@ -53,6 +55,7 @@
     lost: tuple[ExpectedRun, ...]
     unsettled: tuple[ExpectedRun, ...]
     orphans: tuple[RunStatus, ...]
+    unexpected_ends: tuple[RunEnd, ...]
 
 
 def reconcile(
@@ -72,7 +75,7 @@
         applied_end: number of the last run end that was applied before.
     """
     by_run = {(str(e.job), e.key, e.run): e for e in expected}
-    ended = _match_ends(by_run, report, applied_end)
+    ended, unexpected_ends = _match_ends(by_run, report, applied_end)
     present, orphans = _match_running(by_run, report)
     matched_ids = {id(e) for e, _ in ended} | {id(e) for e, _ in present}
     lost: list[ExpectedRun] = []
@@ -98,6 +101,7 @@
         lost=tuple(lost),
         unsettled=tuple(unsettled),
         orphans=tuple(orphans),
+        unexpected_ends=tuple(unexpected_ends),
     )
 
 
@@ -105,13 +109,18 @@
     by_run: Mapping[tuple[str, TaskKey, int], ExpectedRun],
     report: WorkerReport,
     applied_end: int,
-) -> list[tuple[ExpectedRun, RunEnd]]:
+) -> tuple[list[tuple[ExpectedRun, RunEnd]], list[RunEnd]]:
     found: list[tuple[ExpectedRun, RunEnd]] = []
+    unexpected: list[RunEnd] = []
     for end in report.ended:
+        if end.number <= applied_end:
+            continue
         item = _find(by_run, end.task, end.run)
-        if item is not None and end.number > applied_end:
+        if item is None:
+            unexpected.append(end)
+        else:
             found.append((item, end))
-    return found
+    return found, unexpected
 
 
 def _match_running(
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import jobs, placement
+from magnoliaglade import jobs, observability, placement
 from magnoliaglade.coordinator import _reconcile, _watchdog
 from magnoliaglade.coordinator._journal import Journal
 from magnoliaglade.coordinator._link import WorkerLink
@@ -13,6 +13,7 @@
 from magnoliaglade.jobs import (
     AttemptState,
     JobProgress,
+    LossCause,
     RunOutcome,
     StopCause,
     TaskKey,
@@ -27,6 +28,7 @@
 from magnoliaglade.types import WorkerId
 
 OnEnd = Callable[[JobProgress, TaskKey, int, RunOutcome], None]
+ObserveUnexpected = Callable[[str], None]
 
 
 class ReportHandler:
@@ -41,6 +43,8 @@
         speeds: estimate of the workers' speeds that is updated with progress.
         clock: source of time.
         on_end: called with job, task, run and outcome of each end.
+        observe_unexpected: called with "run" or "end" for each run or end that
+            a worker lists although the run counts as ended.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         speeds: placement.SpeedEstimator,
         clock: clock_lib.Clock,
         on_end: OnEnd,
+        observe_unexpected: ObserveUnexpected = lambda _: None,
     ) -> None:
         self.table = table
         self.journal = journal
@@ -63,6 +68,7 @@
         self.speeds = speeds
         self.clock = clock
         self.on_end = on_end
+        self.observe_unexpected = observe_unexpected
 
     def handle(
         self, link: WorkerLink, report: WorkerReport, requested_at_s: float
@@ -96,16 +102,60 @@
                 progress, item.key, attempt, interval_run_time_s
             )
         for item in result.lost:
-            _, progress, _ = expected[id(item)]
+            _, progress, attempt = expected[id(item)]
+            attempt.loss_cause = LossCause.MISSING
+            if item.lifetime != report.lifetime:
+                attempt.loss_cause = LossCause.RESTARTED
             self.on_end(progress, item.key, item.run, RunOutcome.LOST)
         for item in result.unsettled:
             _, progress, attempt = expected[id(item)]
             if attempt.state is AttemptState.SENT:
                 self._settle_by_stop(progress, item.key, requested_at_s)
         for status in result.orphans:
+            self._record_unexpected(link, "run", status.task, status.run)
             self.sender.stop_orphan(link, task=status.task, run=status.run)
+        for end in result.unexpected_ends:
+            self._record_unexpected(
+                link, "end", end.task, end.run, outcome=end.outcome.value
+            )
         return self.journal.position
 
+    def _record_unexpected(
+        self,
+        link: WorkerLink,
+        kind: str,
+        task: str,
+        run: int,
+        *,
+        outcome: str | None = None,
+    ) -> None:
+        """Counts and logs a run that a worker lists though it has ended.
+
+        Args:
+            link: link to the worker.
+            kind: "run" if it is listed as running, "end" if as ended.
+            task: name of the task.
+            run: number of the run.
+            outcome: how the run ended, if it is listed as ended.
+        """
+        self.observe_unexpected(kind)
+        parsed = jobs.parse_task_name(task)
+        progress = self.table.jobs.get(parsed[0]) if parsed else None
+        current = progress.task(parsed[1]) if parsed and progress else None
+        attempt = current.attempt if current else None
+        observability.log_event(
+            "unexpected",
+            kind=kind,
+            task=task,
+            run=run,
+            worker=link.worker,
+            lifetime=link.lifetime,
+            outcome=outcome,
+            job_state=progress.state.value if progress else None,
+            current_run=attempt.run if attempt else None,
+            current_worker=attempt.worker if attempt else None,
+        )
+
     def _record_end(
         self,
         progress: JobProgress,
--- a/magnoliaglade/coordinator/_waste.py
+++ b/magnoliaglade/coordinator/_waste.py
@@ -9,6 +9,7 @@
 from magnoliaglade.jobs import (
     Attempt,
     JobProgress,
+    LossCause,
     RunOutcome,
     StepSpec,
     StopCause,
@@ -40,7 +41,7 @@
 
     job: JobId
     outcome: RunOutcome
-    cause: StopCause | None
+    cause: StopCause | LossCause | None
 
 
 class WasteLog:
@@ -75,15 +76,17 @@
             elapsed_s = 0.0
         spec = progress.job.spec.steps[key.step]
         wasted = wasted_core_s(spec, outcome, elapsed_s)
-        group = _EndGroup(progress.job.job, outcome, attempt.stop_cause)
+        cause: StopCause | LossCause | None = attempt.stop_cause
+        if outcome is RunOutcome.LOST:
+            cause = attempt.loss_cause
+        group = _EndGroup(progress.job.job, outcome, cause)
         if not self._groups:
             asyncio.get_running_loop().call_soon(self._log_groups)
         row = [*key, attempt.run, attempt.worker]
         self._groups.setdefault(group, []).append(row)
         self._wasted_core_s[group] += wasted
         if wasted:
-            cause = attempt.stop_cause or outcome
-            self.observe_waste(cause.value, wasted)
+            self.observe_waste((attempt.stop_cause or outcome).value, wasted)
 
     def _log_groups(self) -> None:
         groups, self._groups = self._groups, {}
--- a/magnoliaglade/coordinator/_worker_registry.py
+++ b/magnoliaglade/coordinator/_worker_registry.py
@@ -157,15 +157,20 @@
             if link is not None and link.is_responsive:
                 continue
             for progress, key, attempt in self.table.attempts_on(worker):
-                if self._has_certainly_ended(link, attempt, now_s):
-                    self.on_lost(progress, key, attempt.run)
-
-    def _has_certainly_ended(
+                if link is not None and link.is_replaced and not link.is_listed:
+                    # The worker is not listed, and another one answers at its
+                    # address.
+                    attempt.loss_cause = jobs.LossCause.REPLACED
+                elif self._has_lease_ended(link, attempt, now_s):
+                    attempt.loss_cause = jobs.LossCause.LEASE_ENDED
+                else:
+                    continue
+                self.on_lost(progress, key, attempt.run)
+
+    def _has_lease_ended(
         self, link: WorkerLink | None, attempt: jobs.Attempt, now_s: float
     ) -> bool:
-        if link is not None and link.is_replaced and not link.is_listed:
-            # The worker is not listed, and another one answers at its address.
-            return True
+        """Returns whether the lease of a run has certainly ended."""
         lease_duration_s = self.longest_lease_s / (1.0 - fleet.CLOCK_DRIFT)
         inherited_until_s = (
             self.started_at_s + UNCONFIRMED_RENEWAL_S + lease_duration_s
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -231,6 +231,7 @@
             planner=placement.Planner(),
             observe_plan=self.metrics.plan_duration.observe,
             observe_waste=self._observe_waste,
+            observe_unexpected=self._observe_unexpected,
         )
         try:
             await self._coordinator.run()
@@ -273,6 +274,9 @@
     def _observe_waste(self, cause: str, core_s: float) -> None:
         self.metrics.wasted_work.labels(cause).inc(core_s)
 
+    def _observe_unexpected(self, kind: str) -> None:
+        self.metrics.unexpected_runs.labels(kind).inc()
+
     def _internal_application(self) -> blacksheep.Application:
         async def metrics(_: blacksheep.Request) -> blacksheep.Response:
             self._refresh_metrics()
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -38,6 +38,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self.unexpected_runs = prometheus_client.Counter(
+            "magnoliaglade_unexpected_runs",
+            "Runs and ends that workers list though the run counts as ended.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "magnoliaglade_store_calls",
             "Calls to the key-value service since the start.",
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -52,6 +52,22 @@
     UNSETTLED = "unsettled"
 
 
+class LossCause(enum.Enum):
+    """Why a run without a reported end counts as lost.
+
+    MISSING: a report of its worker, requested after its start was settled,
+    lists it neither as running nor as ended. RESTARTED: the same, by another
+    lifetime of the worker. REPLACED: another worker answers at the address.
+    """
+
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    MISSING = "missing"
+    RESTARTED = "worker restarted"
+    REPLACED = "worker replaced"
+    LEASE_ENDED = "lease ended"
+
+
 # Smallest progress in percent, between two reports, from which the run time of
 # a task is extrapolated; progress is reported in whole percents.
 MIN_EXTRAPOLATED_PERCENT = 10.0
@@ -83,6 +99,7 @@
         no_progress_s: time in seconds, by the worker's clock, for which
             reports in close succession have shown no progress.
         stop_cause: why the run was first ordered to stop, or None.
+        loss_cause: why the run counts as lost, or None.
     """
 
     run: int
@@ -100,6 +117,7 @@
     reported_ms: int = 0
     no_progress_s: float = 0.0
     stop_cause: StopCause | None = None
+    loss_cause: LossCause | None = None
 
     @property
     def extrapolated_run_time_s(self) -> float | None:
