Acknowledge no end to a worker that may have restarted

Seen by callers: a completed task is run again (TWICE, a start after an end that was taken note of). Cause: each poll carries the number of the last acknowledged end. Numbers begin anew with each lifetime of a worker, and a call names the id only, so the first poll that reaches a restarted worker acknowledged ends that it had never reported. A run that the new lifetime had completed by then was missing from its report, counted as lost and was started again. Evidence: test_end_of_a_new_lifetime_is_not_acknowledged_unseen gave runs [1, 2] before this change and gives [1] and a completed job now. An independent reading of the code found the same interleaving. Why this works: after a poll without an answer nothing is acknowledged until a report lists ends again. The same lifetime lists every end that is not acknowledged, and a new lifetime is known by then.

--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -231,19 +231,23 @@
         # An overdue answer stays overdue until one arrives.
         if not self.is_overdue:
             self.due_at_s = requested_at_s + wait_s + OVERDUE_AFTER_S
-        async with self.offered_lease(
-            renews=permission.may_renew()
-        ) as until_ms:
-            report = await self.client.poll(
-                epoch=self.owner.epoch,
-                acknowledged=acknowledged,
-                lease_until_ms=until_ms,
-                wait_s=wait_s,
-                may_send=lambda: (
-                    (until_ms is None or permission.may_renew())
-                    and (not is_new or permission.may_send_orders())
-                ),
-            )
+        try:
+            async with self.offered_lease(
+                renews=permission.may_renew()
+            ) as until_ms:
+                report = await self.client.poll(
+                    epoch=self.owner.epoch,
+                    acknowledged=acknowledged,
+                    lease_until_ms=until_ms,
+                    wait_s=wait_s,
+                    may_send=lambda: (
+                        (until_ms is None or permission.may_renew())
+                        and (not is_new or permission.may_send_orders())
+                    ),
+                )
+        except BaseException:
+            self._forget_end_numbers()
+            raise
         self._acknowledged_end = acknowledged
         self._handle_answer(report)
         position = self.owner.handle_report(self, report, requested_at_s)
@@ -289,11 +293,20 @@
         )
         self.lifetime = lifetime
         self.applied_end = 0
-        self._acknowledged_end = 0
-        self._unacknowledged_end = (0, 0)
+        self._forget_end_numbers()
         self.leaves_at_s = float("inf")
         self.lease.forget_clock()
 
+    def _forget_end_numbers(self) -> None:
+        """Acknowledges nothing until a report lists ends again.
+
+        A worker that did not answer may have restarted; the numbers would
+        acknowledge ends of its new lifetime that have not been reported. The
+        same lifetime lists every unacknowledged end again.
+        """
+        self._acknowledged_end = 0
+        self._unacknowledged_end = (0, 0)
+
     def _poll_wait_s(self, *, has_pending_end: bool) -> float:
         if has_pending_end or not self.lease.is_synchronized:
             return 0.0
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -12,6 +12,8 @@
 # Duration of a disconnection: shorter than the lease of a run, longer than the
 # time after which a run counts as stalled.
 DISCONNECTION_S = 4.4
+# Duration of a run that ends before its worker counts as unresponsive.
+SHORT_RUN_S = 1.0
 # Time from the making of a report to its arrival.
 REPORT_DELAY_S = 0.5
 
@@ -97,6 +99,31 @@
         await deployment.stop()
 
 
+class TestAcknowledgementsAfterRestarts:
+    """The numbers of ends begin anew with each lifetime of a worker."""
+
+    async def test_end_of_a_new_lifetime_is_not_acknowledged_unseen(self):
+        # Guards against a completed run that is run again, because a number of
+        # the previous lifetime acknowledged its end before it was reported.
+        deployment = harness.Deployment(workers=1, duration_s=SHORT_RUN_S)
+        (engine,) = deployment.engines.values()
+        await deployment.elect()
+        await deployment.submit(harness.make_job("acknowledged"))
+        await deployment.clock.advance(SHORT_RUN_S + 1.0)
+        stale_entry = engine.listed()
+        engine.listed = lambda: stale_entry
+        engine.faults.loses_polls = True
+        engine.restart()
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(SHORT_RUN_S + 1.0)
+        engine.faults.loses_polls = False
+        del engine.listed
+        await deployment.clock.advance(5.0)
+        assert [s.run for s in deployment.starts(job)] == [1]
+        assert await deployment.state(job) is JobState.COMPLETED
+        await deployment.stop()
+
+
 class TestReplacedWorkers:
     """Another worker answers at the address: the runs there have ended."""
 
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -49,6 +49,8 @@
         is_ahead: runs show 100 percent long before they end, as members of a
             gang do that wait for slower ones.
         report_delay_s: reports arrive this many seconds after they are made.
+        loses_polls: polls get no answer and new ones do not arrive, as on a
+            silent connection, while orders on other connections do.
     """
 
     is_cut: bool = False
@@ -60,6 +62,7 @@
     is_ahead: bool = False
     is_replaced: bool = False
     report_delay_s: float = 0.0
+    loses_polls: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -179,6 +182,9 @@
     ) -> fleet.WorkerReport:
         """See `WorkerClient.poll`."""
         await self._arrive(may_send)
+        if self.faults.loses_polls:
+            await self.clock.sleep(wait_s)
+            raise fleet.OrderOutcomeUnknownError(self.worker)
         if not self._accepts(epoch):
             raise fleet.WorkerFencedError(self.worker)
         if lease_until_ms is not None:
@@ -188,6 +194,8 @@
         while not self._has_end() and self.clock.now() < deadline_s:
             await self.clock.sleep(_POLL_S)
         await self._answer()
+        if self.faults.loses_polls:
+            raise fleet.OrderOutcomeUnknownError(self.worker)
         report = self._report()
         await self.clock.sleep(self.faults.report_delay_s)
         return report
