Apply a cancellation that was announced before its job

Seen by callers: a cancelled job starts, and its tasks run on (UNASKED). Cause: the coordinator applied an end request only when its own key changed, and ignored it if it did not know the job yet. If the announcement of a job is lost and that of its cancellation arrives, the full read of the intake after a lost history reports only the job as changed, so the cancellation was never applied in that term. Evidence: test_cancellation_announced_before_its_job_is_applied found a started job before this change, and none now. Why this works: a change of any key of a job applies all stored end requests of that job; a job that is final already stays as it is.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -361,20 +361,18 @@
 
     def handle_intake(self, changed: Iterable[str]) -> None:
         """Applies new submissions, cancellations and completions."""
-        end_requests: list[tuple[JobId, keys.IntakeKind]] = []
+        affected: set[JobId] = set()
         for key in sorted(changed):
             entry = self._intake.entries.get(key)
             job, kind = keys.parse_intake_key(key)
             if entry is None:
                 continue
-            if kind is not keys.IntakeKind.JOB:
-                end_requests.append((job, kind))
-            elif job not in self.table.jobs:
+            if kind is keys.IntakeKind.JOB and job not in self.table.jobs:
                 self._add_job(entry)
-        for job, kind in end_requests:
-            progress = self.table.jobs.get(job)
-            if progress is not None:
-                self._apply_end_request(progress, kind)
+            affected.add(job)
+        for job in sorted(affected):
+            # An announced cancellation can arrive before its job.
+            self._apply_end_requests(job)
         self._plan_runner.wake.set()
 
     def _add_job(self, entry: store.Entry) -> None:
@@ -401,15 +399,20 @@
             self._housekeeping.record_job_end(job.job)
             self._stop_all(progress)
 
-    def _apply_end_request(
-        self, progress: JobProgress, kind: keys.IntakeKind
-    ) -> None:
-        is_completion = kind is keys.IntakeKind.COMPLETION
-        end_job = progress.complete if is_completion else progress.cancel
-        if end_job():
-            self._finish_job(progress)
-            self._store_progress(progress)
-            self._stop_all(progress)
+    def _apply_end_requests(self, job: JobId) -> None:
+        """Applies the stored cancellation and completion of a job."""
+        progress = self.table.jobs.get(job)
+        if progress is None:
+            return
+        entries = self._intake.entries
+        for key, end_job in (
+            (keys.cancellation_key(job), progress.cancel),
+            (keys.completion_key(job), progress.complete),
+        ):
+            if key in entries and end_job():
+                self._finish_job(progress)
+                self._store_progress(progress)
+                self._stop_all(progress)
 
     def _finish_job(self, progress: JobProgress) -> None:
         job = progress.job.job
