Make unanswered starts void again for each later lifetime of their worker

Seen by callers: a task runs on two workers at the same time (TWICE). Cause: an unanswered start is made void by a stop, or by the answer to its repetition, and the run then counts as lost or ended with its worker. A worker that restarts under its id knows nothing of either, and a call names the id only, so the late order still starts the run, beside the next one. Evidence: test_stopped_start_runs_nothing_beside_the_next_run and test_first_of_two_starts_runs_nothing_beside_the_next_run counted two running workers before this change, and one now. Why this works: for as long as a start may be executed late, each report of a lifetime that has not confirmed the stop leads to one. A run that was stopped is refused by the worker from then on. What remains: a late order that is executed before the first report of the restarted worker has been answered with a stop.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -323,7 +323,9 @@
         self, link: WorkerLink, report: WorkerReport, requested_at_s: float
     ) -> int:
         """See `LinkOwner.handle_report`."""
-        return self._reports.handle(link, report, requested_at_s)
+        position = self._reports.handle(link, report, requested_at_s)
+        self.sender.void_late_starts(link)
+        return position
 
     # Loading.
 
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -1,12 +1,17 @@
 """Sends orders to workers and handles their outcomes."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import fleet, observability
-from magnoliaglade.coordinator._link import RETRY_DELAY_S, WorkerLink
+from magnoliaglade.coordinator._link import (
+    MAX_ORDER_DELAY_S,
+    RETRY_DELAY_S,
+    WorkerLink,
+)
 from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.fleet import OrderOutcome
 from magnoliaglade.jobs import (
@@ -19,7 +24,7 @@
     StopCause,
     TaskKey,
 )
-from magnoliaglade.types import Epoch, WorkerId
+from magnoliaglade.types import Epoch, Lifetime, WorkerId
 
 # Outcomes of a start after which the run certainly does not exist.
 _NOT_STARTED = frozenset(
@@ -38,6 +43,26 @@
 MAX_START_CALLS = 3
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _UnansweredStart:
+    """A start order without an answer, which may be executed late.
+
+    Attributes:
+        progress: the job.
+        key: the task.
+        attempt: the run.
+        lifetime: lifetime of the worker that was sent the order, or that has
+            last confirmed a stop of the run.
+        expires_at_s: monotonic time from which the order has no effect.
+    """
+
+    progress: JobProgress
+    key: TaskKey
+    attempt: Attempt
+    lifetime: Lifetime
+    expires_at_s: float
+
+
 class OrderSender:
     """Sends start and stop orders, each in a task of its own.
 
@@ -69,6 +94,7 @@
         self.on_fenced = on_fenced
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping: set[tuple[str, int, WorkerId]] = set()
+        self._unanswered_starts: dict[WorkerId, list[_UnansweredStart]] = {}
 
     def send_start(
         self,
@@ -133,6 +159,35 @@
             self._stopping.add(stop_key)
             self._spawn(self._stop_orphan(link, task, run, stop_key))
 
+    def void_late_starts(self, link: WorkerLink) -> None:
+        """Stops runs that late orders may start on a restarted worker.
+
+        A stop makes a late start order void, but only for the lifetime of the
+        worker that answers the stop. Called after each report of a worker.
+        """
+        now_s = self.clock.now()
+        starts = [
+            s
+            for s in self._unanswered_starts.pop(link.worker, ())
+            if s.expires_at_s > now_s
+        ]
+        if not starts:
+            return
+        self._unanswered_starts[link.worker] = starts
+        for start in starts:
+            stop_key = (
+                start.progress.job.task_name(start.key),
+                start.attempt.run,
+                link.worker,
+            )
+            if (
+                start.lifetime != link.lifetime
+                and stop_key not in self._stopping
+                and not _is_current(start.progress, start.key, start.attempt)
+            ):
+                self._stopping.add(stop_key)
+                self._spawn(self._void_start(link, start, stop_key))
+
     async def close(self) -> None:
         """Cancels all orders in flight."""
         for task in self._tasks:
@@ -173,6 +228,15 @@
             # run would stay unsettled forever.
             link.start_cooldown()
             self._log_start(progress, key, attempt, repr(error))
+            self._unanswered_starts.setdefault(link.worker, []).append(
+                _UnansweredStart(
+                    progress=progress,
+                    key=key,
+                    attempt=attempt,
+                    lifetime=link.lifetime,
+                    expires_at_s=self.clock.now() + MAX_ORDER_DELAY_S,
+                )
+            )
             await self._repeat_start(progress, key, attempt, link, may_send)
             # The next report shows whether the run exists.
             attempt.call_ended_at_s = self.clock.now()
@@ -321,6 +385,19 @@
         finally:
             self._stopping.discard(stop_key)
 
+    async def _void_start(
+        self,
+        link: WorkerLink,
+        start: _UnansweredStart,
+        stop_key: tuple[str, int, WorkerId],
+    ) -> None:
+        lifetime = link.lifetime
+        try:
+            if await self._try_stop(link, *stop_key[:2]):
+                start.lifetime = lifetime
+        finally:
+            self._stopping.discard(stop_key)
+
     async def _try_stop(self, link: WorkerLink, task: str, run: int) -> bool:
         try:
             reply = await link.client.stop(
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -99,6 +99,48 @@
         await deployment.stop()
 
 
+class TestLateStartsAfterRestarts:
+    """A start order is executed late, by a later lifetime of its worker."""
+
+    async def lose_first_run(self, *, deferred_orders):
+        """Returns a deployment in which a late order of run 1 is pending.
+
+        Args:
+            deferred_orders: number of orders that each worker leaves
+                unanswered.
+        """
+        deployment = harness.Deployment(workers=2, duration_s=RUN_S)
+        await deployment.elect()
+        await deployment.clock.advance(0.5)
+        for engine in deployment.engines.values():
+            engine.faults.deferred_orders = deferred_orders
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.1)
+        (holder,) = [e for e in deployment.engines.values() if e.deferred]
+        for engine in deployment.engines.values():
+            engine.faults.deferred_orders = 0
+        # The next run is placed on the other worker.
+        deployment.removed_zones.add(holder.zone)
+        await deployment.clock.advance(2.5)
+        holder.restart()
+        await deployment.clock.advance(2.5)
+        holder.deliver_deferred()
+        await deployment.clock.advance(0.1)
+        return deployment, f"{job}.0.0.0"
+
+    async def test_stopped_start_runs_nothing_beside_the_next_run(self):
+        # Guards against a stop that the worker forgets when it restarts.
+        deployment, task = await self.lose_first_run(deferred_orders=9)
+        assert len(deployment.workers_running(task)) == 1
+        await deployment.stop()
+
+    async def test_first_of_two_starts_runs_nothing_beside_the_next_run(self):
+        # Guards against an unanswered start whose repetition was answered.
+        deployment, task = await self.lose_first_run(deferred_orders=1)
+        assert len(deployment.workers_running(task)) == 1
+        await deployment.stop()
+
+
 class TestAcknowledgementsAfterRestarts:
     """The numbers of ends begin anew with each lifetime of a worker."""
 
