Show the end of a job only once it is stored

Cause: while the store does not reply to an instance, it asks the coordinator, which showed ends from memory before they were stored or acknowledged. If the worker and the coordinator are lost then, the successor reads a record without the end and starts the task again. The completion key that instances write after an outage comes up to 0.5 s after the store's return, or never if the instance is lost. A replaced coordinator that no worker fences showed such ends without limit. Why this works: an end is shown once the record that holds it is stored, and every successor reads that record. Callers see such a job as running for the rest of the outage, or no state after 8 s.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -282,7 +282,10 @@
         self._replaced.set()
 
     def summary(self, job: JobId) -> jobs.JobSummary | None:
-        """Returns a job's state and account, also before they are stored.
+        """Returns a job's state and account.
+
+        An end that runs have brought about counts once its record is stored: a
+        successor might never learn of it if the worker is lost too.
 
         Returns None for an unknown job, and for a state that is not final if a
         successor may have changed it.
@@ -290,13 +293,15 @@
         progress = self.table.jobs.get(job)
         if progress is None:
             return None
-        if not progress.state.is_final and not self.permission.may_renew():
-            # A successor may have changed the state by now; a final state does
-            # not change.
+        state = progress.state
+        if progress.end_position > self.journal.stored_position:
+            # The start of the run that ended is stored.
+            state = jobs.JobState.RUNNING
+        if not state.is_final and not self.permission.may_renew():
+            # A successor may have changed the state by now; a stored final
+            # state does not change.
             return None
-        return jobs.JobSummary(
-            state=progress.state, account=progress.job.account
-        )
+        return jobs.JobSummary(state=state, account=progress.job.account)
 
     def accept_entry(self, entry: store.Entry) -> None:
         """Applies an entry of the intake before the watch returns it.
@@ -438,8 +443,8 @@
         for key, attempt in list(progress.attempts()):
             self.sender.send_stop(progress, key, attempt, StopCause.JOB_ENDED)
 
-    def _store_progress(self, progress: JobProgress) -> None:
-        self.journal.write(
+    def _store_progress(self, progress: JobProgress) -> int:
+        return self.journal.write(
             keys.progress_key(progress.job.job),
             lambda: jobs.encode_progress(progress),
         )
@@ -461,7 +466,9 @@
                 self._stop_all(progress)
         elif outcome is not RunOutcome.DONE:
             self._stop_rest_of_gang(progress, key, run)
-        self._store_progress(progress)
+        position = self._store_progress(progress)
+        if progress.state.is_final and not was_final:
+            progress.end_position = position
         self._plan_runner.wake.set()
 
     def _end_lost_run(
--- a/magnoliaglade/coordinator/tests/test_coordinator.py
+++ b/magnoliaglade/coordinator/tests/test_coordinator.py
@@ -117,13 +117,14 @@
     async def test_job_reported_as_completed_stays_completed(self, deployment):
         # Guards against a second run of a job that was reported as completed
         # during a store outage, after its coordinator and its worker were lost.
+        # Coordinators of earlier versions report an end before it is stored.
         first = await deployment.elect(deployment.faulty_store())
         job = await deployment.submit(harness.make_job("a"))
         await deployment.clock.advance(1.0)
         worker = deployment.workers_running(f"{job}.0.0.0")[0]
         first.store.is_down = True
         await deployment.clock.advance(6.0)
-        assert first.summary(job).state is JobState.COMPLETED
+        assert first.summary(job).state is JobState.RUNNING
         assert await deployment.state(job) is JobState.RUNNING
         await deployment.kill(first)
         deployment.unlisted.add(worker)
--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -256,8 +256,9 @@
     async def confirm_completions(self) -> None:
         """Stores which jobs were reported as completed; runs until cancelled.
 
-        A coordinator that takes over then never starts them again, even if
-        their worker failed together with the former coordinator.
+        Coordinators of earlier versions report ends before they are stored. A
+        coordinator that takes over then does not start these jobs again, even
+        if their worker failed together with the former coordinator.
         """
         while True:
             await self.clock.sleep(CONFIRMATION_INTERVAL_S)
--- a/magnoliaglade/instance/_coordinator_calls.py
+++ b/magnoliaglade/instance/_coordinator_calls.py
@@ -1,9 +1,8 @@
 """Calls between the instances and the one that is the coordinator.
 
-The coordinator answers the state of a job from memory: while the store does not
-reply it still receives reports of ended jobs from the workers, and callers
-should get these states. It also takes announcements of new entries of the
-intake, which it otherwise learns from a watch on the store.
+The coordinator answers the state of a job from memory, also if the asking
+instance cannot reach the store. It also takes announcements of new entries of
+the intake, which it otherwise learns from a watch on the store.
 """
 
 from collections.abc import Callable
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -194,6 +194,8 @@
         done_steps: the completed runs of steps.
         steps: progress of each run of a step, from its first use until it is
             complete and has no attempts.
+        end_position: journal position from which an end that runs have brought
+            about is stored; 0 for any other state. It is not stored itself.
     """
 
     def __init__(self, *, job: Job) -> None:
@@ -202,6 +204,7 @@
         self.has_started = False
         self.done_steps: set[StepKey] = set()
         self.steps: dict[StepKey, StepProgress] = {}
+        self.end_position = 0
 
     def step(self, key: StepKey) -> StepProgress:
         """Returns the progress of a step; creates it on first use."""
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -146,6 +146,11 @@
         _, instance, caller = deployment
         await caller.call("POST", PREFIX + JOB, body=BODY)
         await caller.until(PREFIX + JOB, {"state": "completed"})
+        # The store's answer may reach a caller before it reaches the
+        # coordinator, which shows an end once it knows that it is stored.
+        current = instance._coordinator
+        position = current.journal.position
+        assert await current.wait_stored(position, timeout_s=5.0)
         client = _coordinator_calls.CoordinatorClient(
             address=lambda: instance.election.coordinator_address
         )
