Write the line on unexpected runs under a field name that the log accepts

The test counted runs and ends only, before the line is written. Evidence: the test asks now that the unexpected run is stopped and its end acknowledged; it failed before this change. Why this works: the field is named listed_as.

--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -145,7 +145,7 @@
         attempt = current.attempt if current else None
         observability.log_event(
             "unexpected",
-            kind=kind,
+            listed_as=kind,
             task=task,
             run=run,
             worker=link.worker,
--- a/magnoliaglade/coordinator/tests/test_unexpected_runs.py
+++ b/magnoliaglade/coordinator/tests/test_unexpected_runs.py
@@ -35,6 +35,8 @@
     async def test_run_and_end_that_nobody_expects_are_counted(
         self, deployment
     ):
+        # Also guards against an error in the log line, which would end the
+        # polling of the worker.
         current = await deployment.elect()
         await deployment.clock.advance(1.0)
         kinds = []
@@ -50,7 +52,9 @@
             )
         )
         await deployment.clock.advance(RUN_S + 2.0)
-        assert set(kinds) == {"run", "end"}
+        assert kinds == ["run", "end"]
+        assert engine.running == {}
+        assert engine._ended == []
 
 
 class TestLossCauses:
