--- a/magnoliaglade/coordinator/tests/harness.py
+++ b/magnoliaglade/coordinator/tests/harness.py
@@ -29,6 +29,7 @@
 
 SERVICE = ServiceName("render")
 ACCOUNT = AccountId("studio")
+LONGEST_LEASE_S = 6.0
 
 
 def job_id(name):
@@ -107,6 +108,7 @@
                     task, self.duration_s
                 ),
                 rack=f"r{i // per_rack}",
+                longest_lease_s=LONGEST_LEASE_S,
                 zone="ab"[i % 2],
             )
             for i in range(workers)
@@ -118,36 +120,42 @@
         self.configuration = make_configuration(guaranteed=16)
         self.terms = []
 
-    async def elect(self, used_store=None):
-        """Starts a coordinator in a new epoch."""
+    async def elect(self, used_store=None, **fields):
+        """Starts a coordinator in a new epoch.
+
+        Args:
+            used_store: the coordinator's store, if not the deployment's.
+            **fields: other arguments of the coordinator.
+        """
         entry = await self.store.get(keys.COORDINATOR_KEY)
         epoch = await self.store.put(
             keys.COORDINATOR_KEY,
             b"owner",
             expected=entry.revision if entry else 0,
         )
-        current = coordinator.Coordinator(
-            store=used_store or self.store,
-            clock=self.clock,
-            epoch=Epoch(epoch),
-            connect=lambda listed: self.engines[listed.worker],
-            list_workers=self._list,
-            configuration=lambda: self.configuration,
-            removed_zones=lambda: frozenset(
+        values = {
+            "store": used_store or self.store,
+            "clock": self.clock,
+            "epoch": Epoch(epoch),
+            "connect": lambda listed: self.engines[listed.worker],
+            "list_workers": self._list,
+            "configuration": lambda: self.configuration,
+            "removed_zones": lambda: frozenset(
                 ZoneId(z) for z in self.removed_zones
             ),
-            unconfirmed_s=lambda: self.unconfirmed_s,
-            zones_age_s=lambda: self.zones_age_s,
-            timings=coordinator.Timings(
-                longest_lease_s=6.0,
+            "unconfirmed_s": lambda: self.unconfirmed_s,
+            "zones_age_s": lambda: self.zones_age_s,
+            "timings": coordinator.Timings(
+                longest_lease_s=LONGEST_LEASE_S,
                 stop_s=0.2,
                 status_s=120.0,
                 restore_s=0.25,
                 evacuate_s=5.0,
                 drain_s=2.0,
             ),
-            planner=placement.Planner(),
-        )
+            "planner": placement.Planner(),
+        }
+        current = coordinator.Coordinator(**(values | fields))
         task = asyncio.ensure_future(current.run())
         self.terms.append((current, task))
         await self.clock.advance(0.01)
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -82,12 +82,12 @@
         restarted, other = deployment.engines
         deployment.unlisted.add(other)
         current = await deployment.elect()
-        await deployment.clock.advance(1.0)
         engine = deployment.engines[restarted]
         stale_entry = engine.listed()
         engine.listed = lambda: stale_entry
         engine.faults.report_delay_s = REPORT_DELAY_S
         engine.restart()
+        await deployment.clock.advance(1.0)
         # The answer to the poll under way is made, and arrives after the start.
         made_at_s = current.links[restarted].due_at_s - OVERDUE_AFTER_S
         await deployment.clock.advance(made_at_s - deployment.clock.now() + 0.1)
--- a/magnoliaglade/standins/worker_engine.py
+++ b/magnoliaglade/standins/worker_engine.py
@@ -92,6 +92,7 @@
         worker: id.
         duration_s: returns the run time of a task in seconds by its name.
         stop_s: time that a stop takes, in seconds.
+        longest_lease_s: longest lease of a run, in seconds.
         faults: what goes wrong.
         starts: every start, in order.
         orders: every start or stop that has arrived, in order.
@@ -108,8 +109,11 @@
         service: str = "render",
         capacity: Resources | None = None,
         stop_s: float = 0.2,
+        longest_lease_s: float = float("inf"),
     ) -> None:
         self.clock = clock
+        self.longest_lease_s = longest_lease_s
+        self.born_at_s = 0.0
         self.worker = worker
         self.duration_s = duration_s
         self.zone = zone
@@ -156,7 +160,8 @@
         )
 
     def restart(self) -> None:
-        """Begins a new lifetime that knows nothing."""
+        """Begins a new lifetime that knows nothing; its clock starts anew."""
+        self.born_at_s = self.clock.now()
         self.lifetime = Lifetime(self.lifetime + 1)
         self.highest_epoch = Epoch(0)
         self._runs.clear()
@@ -190,9 +195,12 @@
         if lease_until_ms is not None:
             self._extend(lease_until_ms)
         self._ended = [e for e in self._ended if e.number > acknowledged]
+        lifetime = self.lifetime
         deadline_s = self.clock.now() + wait_s
         while not self._has_end() and self.clock.now() < deadline_s:
             await self.clock.sleep(_POLL_S)
+            if self.lifetime != lifetime:
+                raise fleet.OrderOutcomeUnknownError(self.worker)
         await self._answer()
         if self.faults.loses_polls:
             raise fleet.OrderOutcomeUnknownError(self.worker)
@@ -304,10 +312,13 @@
             self._closed_runs[task] = max(self._closed_runs.get(task, 0), run)
 
     def _extend(self, until_ms: int) -> None:
+        longest_ms = self._clock_ms() + self.longest_lease_s * 1000.0
+        until_ms = int(min(until_ms, longest_ms))
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
 
     def _clock_ms(self) -> int:
-        return int(self.clock.now() * 1000)
+        # A reading of 0 stands for an answer without one.
+        return 1 + int((self.clock.now() - self.born_at_s) * 1000)
 
     def _advance(self) -> None:
         now_s = self.clock.now()
