Close the caller's connections in the fixture of the platform tests

Cause: the fixture's Caller keeps an HttpClient that nothing stops. Its idle connections outlive the event loop of their test; the garbage collector finds them in whatever test runs then. The product closes its own connections here. Change: the fixture stops the client before the instance. The checks of the tests are unchanged.

--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -100,6 +100,7 @@
         while not instance.is_ready:
             await asyncio.sleep(0.02)
     yield standin, instance, caller
+    await caller.client.stop()
     await instance.stop()
     await standin.stop()
 
