Close the connection of a call that outlives the stop of its client

Seen: while looking for connections that outlive their test; no failure of the suite was traced to it. Cause: HttpClient.stop closes the idle connections, but a call in flight puts its connection among the idle ones when it ends. Nothing closes it afterwards, for instance after the link to a worker replaced its client while an order was in flight on the old one. Change: a stopped client keeps no connection; start makes it keep them again. What a call sends and returns is unchanged.

--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -86,13 +86,16 @@
         self._idle_connections: list[
             tuple[float, _connection.ClientConnection]
         ] = []
+        self._is_stopped = False
 
     async def start(self) -> None:
         """Validates the parameters; the first call connects."""
         self.validate_params()
+        self._is_stopped = False
 
     async def stop(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections; calls close theirs when they end."""
+        self._is_stopped = True
         self._close_idle_connections()
 
     async def call(
@@ -181,7 +184,8 @@
         self, connection: _connection.ClientConnection
     ) -> None:
         if (
-            connection.is_reusable
+            not self._is_stopped
+            and connection.is_reusable
             and len(self._idle_connections) < _MAX_IDLE_CONNECTIONS
         ):
             self._idle_connections.append((time.monotonic(), connection))
--- a/magnoliaglade/http/tests/test_http.py
+++ b/magnoliaglade/http/tests/test_http.py
@@ -68,6 +68,27 @@
         await client.stop()
         await server.stop()
 
+    async def test_call_that_outlives_the_stop_closes_its_connection(self):
+        """Guards against connections that a discarded client keeps open."""
+        arrived, gate = asyncio.Event(), asyncio.Event()
+
+        async def handle(request):
+            arrived.set()
+            await gate.wait()
+            return http.json_response(200, {})
+
+        server, client = await serve(handle)
+        call = asyncio.ensure_future(client.call("POST", "/x"))
+        await arrived.wait()
+        await client.stop()
+        gate.set()
+        assert (await call).status == 200
+        open_connections = [c for _, c in client._idle_connections]
+        for connection in open_connections:
+            connection.close()
+        await server.stop()
+        assert open_connections == []
+
 
 class TrickleServer:
     """Sends a reply in parts; `may_send` is released once for each part."""
