Close the connections to the former coordinator when it changes

Seen: while looking for connections that outlive their test; no failure of the suite was traced to it. Cause: CoordinatorClient replaces its client when the address of the coordinator changes and drops the old one with its idle connections open, so that they last until the garbage collector finds them. Change: the old client is stopped once the new one is in place. Calls still in flight on it end as before and close their connections then.

--- a/magnoliaglade/instance/_coordinator_calls.py
+++ b/magnoliaglade/instance/_coordinator_calls.py
@@ -85,7 +85,8 @@
     async def find_summary(self, job: JobId) -> jobs.JobSummary | None:
         """Returns the coordinator's summary of a job, None if unavailable."""
         try:
-            reply = await self._connect().call("GET", f"{_SUMMARY_PATH}/{job}")
+            client = await self._connect()
+            reply = await client.call("GET", f"{_SUMMARY_PATH}/{job}")
             if reply.status != 200:
                 return None
             fields = reply.unpack()
@@ -105,7 +106,8 @@
         A failure is logged only: the coordinator's watch finds the entry too.
         """
         try:
-            reply = await self._connect().call(
+            client = await self._connect()
+            reply = await client.call(
                 "POST", _ANNOUNCEMENT_PATH, body=_encode_entry(entry)
             )
         except exceptions.MagnoliagladeError as error:
@@ -126,14 +128,19 @@
         if self._client is not None:
             await self._client.stop()
 
-    def _connect(self) -> http.HttpClient:
+    async def _connect(self) -> http.HttpClient:
         address = self.address()
         if not address:
             raise http.NotSentError("no coordinator is known")
         url = f"http://{address}"
-        if self._client is None or self._client.url != url:
-            self._client = http.HttpClient(url=url, timeout_s=CALL_TIMEOUT_S)
-        return self._client
+        if self._client is not None and self._client.url == url:
+            return self._client
+        former = self._client
+        client = http.HttpClient(url=url, timeout_s=CALL_TIMEOUT_S)
+        self._client = client
+        if former is not None:
+            await former.stop()
+        return client
 
 
 def _encode_entry(entry: store.Entry) -> bytes:
