Close the relayed connections in the test of silent peer streams

Seen: with each StreamWriter recorded, two open connections of the relay are dropped by test_silent_stream_is_replaced. No error came of it in these runs, because the collector found them before the event loop was closed. Cause: the relay closes its connections only after both directions have ended; the test ends before, and the cancellation of the relay skips the closing. Evidence: with a collection forced before and after each test, 3 runs of test_network.py found 6 such connections, and 3 runs with this change found none. All 8 tests passed in all of these runs. Change: the relay closes its connections also when it is cancelled, and the test cancels its relays. The checks of the test are unchanged.

--- a/magnoliaglade/peers/tests/test_network.py
+++ b/magnoliaglade/peers/tests/test_network.py
@@ -83,20 +83,24 @@
                     writer.write(data)
 
         accepted = 0
+        relays = set()
 
         async def on_connect(reader, writer):
             nonlocal accepted
             accepted += 1
+            relays.add(asyncio.current_task())
             up_reader, up_writer = await asyncio.open_connection(
                 "127.0.0.1", b.bound_port
             )
-            await asyncio.gather(
-                relay(reader, up_writer),
-                relay(up_reader, writer),
-                return_exceptions=True,
-            )
-            up_writer.close()
-            writer.close()
+            try:
+                await asyncio.gather(
+                    relay(reader, up_writer),
+                    relay(up_reader, writer),
+                    return_exceptions=True,
+                )
+            finally:
+                up_writer.transport.abort()
+                writer.transport.abort()
 
         proxy = await asyncio.start_server(on_connect, "127.0.0.1", 0)
         port = proxy.sockets[0].getsockname()[1]
@@ -111,6 +115,10 @@
         await a.stop()
         await b.stop()
         proxy.close()
+        # Their connections must not outlive the event loop.
+        for task in relays:
+            task.cancel()
+        await asyncio.gather(*relays, return_exceptions=True)
 
     async def test_restarted_peer_has_new_incarnation(self):
         """Guards against treating a restarted peer as its previous process."""
