Close a connection to a peer that is made while the peer is removed

Seen: while looking for connections that outlive their test; no failure of the suite was traced to it. Cause: the connection is made in a task of its own. If the link is removed in the moment between its end and the next step of the link, the connection has no owner and stays open; at the end of a test the collector finds it after the event loop was closed. Evidence: the new test removes the peer in that moment. Before, the connection stays open until the test gives up and StreamWriter.__del__ ends in 'Event loop is closed'; now it is closed. Change: a connection that is made for a cancelled caller is closed, as the connections to upstreams are.

--- a/magnoliaglade/peers/_network.py
+++ b/magnoliaglade/peers/_network.py
@@ -223,10 +223,7 @@
             await self.clock.sleep(self.heartbeat_s / 2)
 
     async def _connect_and_run(self, link: _Link) -> None:
-        host, _, port = link.address.rpartition(":")
-        reader, writer = await self.clock.wait_for(
-            asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
-        )
+        reader, writer = await self._connect(link.address)
         stream = self._make_stream(reader, writer)
         link.stream = stream
         read_task = asyncio.ensure_future(stream.run())
@@ -238,6 +235,20 @@
             read_task.cancel()
             await asyncio.gather(read_task, return_exceptions=True)
 
+    async def _connect(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = address.rpartition(":")
+        connecting = asyncio.ensure_future(
+            asyncio.open_connection(host, int(port))
+        )
+        try:
+            return await self.clock.wait_for(connecting, CONNECT_TIMEOUT_S)
+        except BaseException:
+            # A connection that is made while this is cancelled has no owner.
+            connecting.add_done_callback(_close_unowned)
+            raise
+
     async def _handshake(self, link: _Link, stream: _stream.PeerStream) -> None:
         hello = Hello(instance=self._instance, incarnation=self.incarnation)
         reply = await stream.request(hello, timeout_s=CONNECT_TIMEOUT_S)
@@ -309,3 +320,8 @@
 
     async def _on_hello(self, sender: InstanceId, hello: Hello) -> Hello:
         return Hello(instance=self._instance, incarnation=self.incarnation)
+
+
+def _close_unowned(connecting: asyncio.Future[Any]) -> None:
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[1].transport.abort()
--- a/magnoliaglade/peers/tests/test_network.py
+++ b/magnoliaglade/peers/tests/test_network.py
@@ -120,6 +120,32 @@
             task.cancel()
         await asyncio.gather(*relays, return_exceptions=True)
 
+    async def test_connection_of_a_removed_peer_is_closed(self, monkeypatch):
+        """Guards against a connection without an owner.
+
+        The peer is removed in the moment in which its connection is made.
+        """
+        a, b = await start_pair()
+        open_connection = asyncio.open_connection
+        writers = []
+
+        async def connect_and_remove(host, port):
+            reader, writer = await open_connection(host, port)
+            writers.append(writer)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(a.set_members, {})
+            return reader, writer
+
+        a.set_members({})
+        monkeypatch.setattr(asyncio, "open_connection", connect_and_remove)
+        a.set_members({InstanceId("b"): f"127.0.0.1:{b.bound_port}"})
+        await wait_until(lambda: not a.dump()["peers"])
+        monkeypatch.undo()
+        await wait_until(lambda: all(w.is_closing() for w in writers))
+        assert len(writers) == 1
+        await a.stop()
+        await b.stop()
+
     async def test_restarted_peer_has_new_incarnation(self):
         """Guards against treating a restarted peer as its previous process."""
         a, b = await start_pair()
