Count the delay of an unanswered start from its last repetition

Seen by callers: a task runs on two workers at the same time (TWICE). Cause: an unanswered start expired 13 s after its first call had ended, but it is sent up to three times, and each order may be executed up to 13 s after it was sent. The lifetime that was noted was the one known after the call, which may already be another than the one that the order was sent to. Starts at workers that are gone were kept until the end of the term, with their jobs. Evidence: test_repeated_start_stays_void_for_its_whole_delay counted two running workers before this change, and counts one now. test_starts_at_workers_that_are_gone_are_forgotten found two workers and finds one. No test shows the change of the lifetime.

--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -210,6 +210,7 @@
         if link is None or link.lifetime != attempt.lifetime:
             self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
             return
+        lifetime = link.lifetime
         try:
             reply = await self._request_start(
                 progress, key, attempt, link, may_send
@@ -228,21 +229,40 @@
             # run would stay unsettled forever.
             link.start_cooldown()
             self._log_start(progress, key, attempt, repr(error))
-            self._unanswered_starts.setdefault(link.worker, []).append(
-                _UnansweredStart(
-                    progress=progress,
-                    key=key,
-                    attempt=attempt,
-                    lifetime=link.lifetime,
-                    expires_at_s=self.clock.now() + MAX_ORDER_DELAY_S,
-                )
+            start = self._record_unanswered_start(
+                progress, key, attempt, lifetime=lifetime
             )
             await self._repeat_start(progress, key, attempt, link, may_send)
+            start.expires_at_s = self.clock.now() + MAX_ORDER_DELAY_S
             # The next report shows whether the run exists.
             attempt.call_ended_at_s = self.clock.now()
         else:
             self._handle_start_reply(progress, key, attempt, link, reply)
 
+    def _record_unanswered_start(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: Attempt,
+        *,
+        lifetime: Lifetime,
+    ) -> _UnansweredStart:
+        """Records a start for `void_late_starts`; drops what has expired."""
+        now_s = self.clock.now()
+        # Workers that are gone send no report that would drop their starts.
+        for worker, starts in list(self._unanswered_starts.items()):
+            if all(s.expires_at_s <= now_s for s in starts):
+                del self._unanswered_starts[worker]
+        start = _UnansweredStart(
+            progress=progress,
+            key=key,
+            attempt=attempt,
+            lifetime=lifetime,
+            expires_at_s=now_s + MAX_ORDER_DELAY_S,
+        )
+        self._unanswered_starts.setdefault(attempt.worker, []).append(start)
+        return start
+
     async def _repeat_start(
         self,
         progress: JobProgress,
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -3,8 +3,14 @@
 import msgpack
 import pytest
 
-from magnoliaglade import jobs, store
-from magnoliaglade.coordinator._link import OVERDUE_AFTER_S
+from magnoliaglade import fleet, jobs, store
+from magnoliaglade.coordinator._link import (
+    IDLE_POLL_WAIT_S,
+    MAX_ORDER_DELAY_S,
+    OVERDUE_AFTER_S,
+    RETRY_DELAY_S,
+)
+from magnoliaglade.coordinator._orders import MAX_START_CALLS
 from magnoliaglade.coordinator.tests import harness
 from magnoliaglade.jobs import JobState
 
@@ -16,6 +22,13 @@
 SHORT_RUN_S = 1.0
 # Time from the making of a report to its arrival.
 REPORT_DELAY_S = 0.5
+# Duration of a run that outlasts the longest delay of an order.
+LONG_RUN_S = 60.0
+# Time after which a call without an answer ends.
+CALL_TIMEOUT_S = 0.6
+# Time from a restart to the answer to a stop that its first report leads to: a
+# retry delay and the wait of an idle poll.
+REPORTED_AFTER_S = RETRY_DELAY_S + IDLE_POLL_WAIT_S + 0.2
 
 
 @pytest.fixture
@@ -140,6 +153,69 @@
         assert len(deployment.workers_running(task)) == 1
         await deployment.stop()
 
+    async def test_repeated_start_stays_void_for_its_whole_delay(self):
+        # Guards against a delay that counts from the first of several orders.
+        deployment = harness.Deployment(workers=2, duration_s=LONG_RUN_S)
+        sent_at_s = []
+        for engine in deployment.engines.values():
+            engine.start = self._defer_slowly(deployment, engine, sent_at_s)
+        await deployment.elect()
+        await deployment.clock.advance(0.5)
+        job = await deployment.submit(harness.make_job("a"))
+        await deployment.clock.advance(0.1)
+        (holder,) = [e for e in deployment.engines.values() if e.deferred]
+        for engine in deployment.engines.values():
+            if engine is not holder:
+                del engine.start
+        await deployment.clock.advance(2.0 * CALL_TIMEOUT_S)
+        assert len(sent_at_s) == MAX_START_CALLS
+        # The next run is placed on the other worker.
+        deployment.removed_zones.add(holder.zone)
+        late_at_s = sent_at_s[-1] + MAX_ORDER_DELAY_S - 0.02
+        await deployment.clock.advance(
+            late_at_s - REPORTED_AFTER_S - deployment.clock.now()
+        )
+        assert len(deployment.workers_running(f"{job}.0.0.0")) == 1
+        # It reports, and is sent the stop, before the last order takes effect.
+        holder.restart()
+        await deployment.clock.advance(REPORTED_AFTER_S)
+        holder.deliver_deferred()
+        await deployment.clock.advance(0.1)
+        assert len(deployment.workers_running(f"{job}.0.0.0")) == 1
+        await deployment.stop()
+
+    async def test_starts_at_workers_that_are_gone_are_forgotten(self):
+        # Guards against memory that grows with each such start of a term.
+        deployment = harness.Deployment(workers=2, duration_s=RUN_S)
+        current = await deployment.elect()
+        await deployment.clock.advance(0.5)
+        engines = deployment.engines
+        for name in ("a", "b"):
+            for engine in engines.values():
+                engine.faults.deferred_orders = MAX_START_CALLS
+            await deployment.submit(harness.make_job(name))
+            await deployment.clock.advance(0.1)
+            (holder,) = [e for e in engines.values() if e.deferred]
+            holder.deferred.clear()
+            holder.faults.is_cut = True
+            deployment.unlisted.add(holder.worker)
+            for engine in engines.values():
+                engine.faults.deferred_orders = 0
+            if name == "a":
+                await deployment.clock.advance(40.0)
+        assert list(current.sender._unanswered_starts) == [holder.worker]
+        await deployment.stop()
+
+    def _defer_slowly(self, deployment, engine, sent_at_s):
+        async def start(order, *, may_send):
+            assert may_send()
+            sent_at_s.append(deployment.clock.now())
+            engine.deferred.append(order)
+            await deployment.clock.sleep(CALL_TIMEOUT_S)
+            raise fleet.OrderOutcomeUnknownError("deferred")
+
+        return start
+
 
 class TestAcknowledgementsAfterRestarts:
     """The numbers of ends begin anew with each lifetime of a worker."""
