Ask a worker that did not answer for its lifetime at once

Seen: a worker that restarts under its id is polled with a wait of up to 2 s after the poll that failed, since its clock counts as known until its first answer. Until that answer a late start order is not void there, and its runs are not known to be lost. Cause: only a new lifetime that is known makes the next poll return at once. Evidence: test_restart_of_an_idle_worker_is_noticed_at_once sees the previous lifetime 0.4 s after a restart before this change, and the new one now. The tests of the coordinator pass.

--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -92,6 +92,7 @@
         self._acknowledged_end = 0
         # Journal position and number of the last run end to acknowledge.
         self._unacknowledged_end: tuple[int, int] = (0, 0)
+        self._may_have_restarted = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -247,7 +248,9 @@
                 )
         except BaseException:
             self._forget_end_numbers()
+            self._may_have_restarted = True
             raise
+        self._may_have_restarted = False
         self._acknowledged_end = acknowledged
         self._handle_answer(report)
         position = self.owner.handle_report(self, report, requested_at_s)
@@ -310,6 +313,9 @@
     def _poll_wait_s(self, *, has_pending_end: bool) -> float:
         if has_pending_end or not self.lease.is_synchronized:
             return 0.0
+        if self._may_have_restarted:
+            # Orders are withheld or repeated only once its lifetime is known.
+            return 0.0
         if self.owner.is_busy(self.worker):
             return BUSY_POLL_WAIT_S
         return IDLE_POLL_WAIT_S
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -5,7 +5,6 @@
 
 from magnoliaglade import fleet, jobs, store
 from magnoliaglade.coordinator._link import (
-    IDLE_POLL_WAIT_S,
     MAX_ORDER_DELAY_S,
     OVERDUE_AFTER_S,
     RETRY_DELAY_S,
@@ -26,9 +25,9 @@
 LONG_RUN_S = 60.0
 # Time after which a call without an answer ends.
 CALL_TIMEOUT_S = 0.6
-# Time from a restart to the answer to a stop that its first report leads to: a
-# retry delay and the wait of an idle poll.
-REPORTED_AFTER_S = RETRY_DELAY_S + IDLE_POLL_WAIT_S + 0.2
+# Longest time from a restart to the answer to a stop that its first report
+# leads to.
+REPORTED_AFTER_S = RETRY_DELAY_S + 0.2
 
 
 @pytest.fixture
@@ -153,6 +152,20 @@
         assert len(deployment.workers_running(task)) == 1
         await deployment.stop()
 
+    async def test_restart_of_an_idle_worker_is_noticed_at_once(self):
+        # Guards against a poll that waits for an end at a worker that has just
+        # restarted: a late start is not void there before its answer.
+        deployment = harness.Deployment(workers=1)
+        (engine,) = deployment.engines.values()
+        current = await deployment.elect()
+        await deployment.clock.advance(0.5)
+        listed = engine.listed()
+        engine.listed = lambda: listed
+        engine.restart()
+        await deployment.clock.advance(RETRY_DELAY_S + 0.1)
+        assert current.links[engine.worker].lifetime == engine.lifetime
+        await deployment.stop()
+
     async def test_repeated_start_stays_void_for_its_whole_delay(self):
         # Guards against a delay that counts from the first of several orders.
         deployment = harness.Deployment(workers=2, duration_s=LONG_RUN_S)
