Show a job that runs again after it was shown as finished

Seen: while the store is out, the owner of a domain shows the end of a job from memory. If owner and workers are lost before the store answers, the successor reads a record without the end and starts the job again. Interleaving: job active; store out; the workers report the end; the owner applies Finished unstored and shows it; the workers restart and the owner fails; the successor finds the job active and no report, and starts attempt 2.

--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -385,6 +385,31 @@
         assert len(cluster.runs("j")) == 2
         await successor.close()
 
+    async def test_job_shown_as_finished_does_not_run_again(self):
+        """Guards against an end that is shown before it is stored.
+
+        Owner and workers are lost before the store answers again, so no
+        report tells the successor of the end.
+        """
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        await old.own()
+        await old.owner.submit(harness.make_spec("j", command=("sleep", "3")))
+        await cluster.clock.advance(1)
+        old.store.is_down = old.has_grants = True
+        await cluster.clock.advance(10)
+        assert all(r.ended_s is not None for r in cluster.runs("j"))
+        shown = old.phase("j")
+        await old.close()
+        for worker in cluster.workers.values():
+            worker.crash()
+            worker.restart()
+        await new.own()
+        await cluster.clock.advance(SETTLE_S)
+        assert set(cluster.attempts("j")) == {1, 2}
+        assert shown is PHASE.ACTIVE
+        await new.close()
+
     @pytest.mark.parametrize("fault", ["outage", "takeover"])
     async def test_refusal_of_a_job_in_doubt_is_not_a_not_run(self, fault):
         """Guards against "not run" for a job that a successor runs."""
