Show the end of a job in a domain only once it is stored

Seen by callers: a job of the entry process that was shown as finished, failed or moved during an outage of the store runs again. Cause: facts take effect in the job table before they are in the log, which the owner's decisions need, and status, cancellation, list and the search for a submission showed that table. The owner's decisions use the table as before.

--- a/magnoliaglade/execution/_journal.py
+++ b/magnoliaglade/execution/_journal.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections
+import copy
 
 from magnoliaglade import store as store_lib
 from magnoliaglade.execution import _records, _table
+from magnoliaglade.types import JobId
 
 
 class Journal:
@@ -12,7 +14,8 @@
 
     Facts, such as the end of a task, take effect also if they cannot be written
     now, and are written when the store answers. Commitments, such as the
-    acceptance of a job, take effect only when they are in the log.
+    acceptance of a job, take effect only when they are in the log. Callers see
+    no end before it is in the log, since a successor may not learn of it.
     """
 
     def __init__(
@@ -21,6 +24,8 @@
         self.log = log
         self.table = table
         self._deferred: collections.deque[_records.Record] = collections.deque()
+        # Jobs whose end is not in the log, as they were before it.
+        self._unstored_ends: dict[JobId, _records.JobEntry] = {}
         self._drain_lock = asyncio.Lock()
         self._in_flight = 0
         self._is_compacting = False
@@ -48,6 +53,11 @@
         key = (_records.Accepted, submission)
         return any(_commitment(d) == key for d in self._deferred)
 
+    def shown(self, job: JobId) -> _records.JobEntry | None:
+        """Returns a copy of a job's state for callers, or None."""
+        entry = self._unstored_ends.get(job) or self.table.get(job)
+        return copy.copy(entry)
+
     async def write(self, record: _records.Record) -> None:
         """Writes a commitment and applies it.
 
@@ -76,7 +86,7 @@
         is_written = await self.try_drain()
         if not is_written:
             for record in records:
-                self.table.apply(record)
+                self._apply_unstored(record)
         return is_written
 
     async def try_drain(self) -> bool:
@@ -104,8 +114,9 @@
             while self._deferred:
                 batch = list(self._deferred)
                 await self._append_all(batch)
-                for _ in batch:
+                for record in batch:
                     self._deferred.popleft()
+                    self._unstored_ends.pop(getattr(record, "job", ""), None)
 
     async def compact(self) -> bool:
         """Replaces the log by a snapshot of the table if nothing is written.
@@ -129,6 +140,15 @@
             self._is_compacting = False
         return True
 
+    def _apply_unstored(self, record: _records.Record) -> None:
+        entry = self.table.get(getattr(record, "job", JobId("")))
+        before = copy.copy(entry)
+        self.table.apply(record)
+        if entry is None or before is None or before.phase.is_terminal:
+            return
+        if entry.phase.is_terminal:
+            self._unstored_ends[entry.job] = before
+
     async def _write(self, record: _records.Record) -> None:
         if self._deferred or self._is_compacting:
             await self.drain()
--- a/magnoliaglade/execution/_owner.py
+++ b/magnoliaglade/execution/_owner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import copy
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -189,25 +188,28 @@
             NotOwnerError: ask the owner.
             OutcomeUnknownError: it may be cancelled; cancel again.
         """
-        entry = self._find(job)
+        entry = self.status(job)
         if entry.phase.is_terminal:
-            return copy.copy(entry)
+            return entry
         if entry.phase is _records.JobPhase.MOVING:
             raise _errors.NotRunError(f"{job}: is moving to {entry.domain}")
         await self._commit(_records.Cancelled(job=job, at_s=self.clock.time()))
-        entry = self._find(job)
+        entry = self.status(job)
         if entry.phase.is_terminal:
             self._require_term().attempts.stop_cancelled(job)
             self._wake.set()
-        return copy.copy(entry)
+        return entry
 
     def status(self, job: JobId) -> _records.JobEntry:
-        """Returns a copy of a job's state.
+        """Returns a copy of a job's state; an end is shown once it is stored.
 
         Raises:
             UnknownJobError: there is no such job.
         """
-        return copy.copy(self._find(job))
+        entry = self._require_term().journal.shown(job)
+        if entry is None:
+            raise _errors.UnknownJobError(str(job))
+        return entry
 
     def may_hold(self, submission: str) -> bool:
         """Tells whether a submission that the table lacks may be accepted.
@@ -244,12 +246,6 @@
                 raise _errors.NotOwnerError(str(error)) from error
             raise _errors.NotRunError(str(error)) from error
 
-    def _find(self, job: JobId) -> _records.JobEntry:
-        entry = self.jobs.get(job)
-        if entry is None:
-            raise _errors.UnknownJobError(str(job))
-        return entry
-
     def _require_term(self) -> _term.Term:
         if self._term is None or self._is_lost:
             raise _errors.NotOwnerError(f"{self.domain}: is not owned now")
--- a/magnoliaglade/execution/_owner_endpoint.py
+++ b/magnoliaglade/execution/_owner_endpoint.py
@@ -99,11 +99,12 @@
         self, sender: InstanceId, message: messages.JobList
     ) -> messages.JobReply:
         try:
-            jobs = self._require(message.domain).jobs
+            owner = self._require(message.domain)
+            jobs = owner.jobs
         except _errors.ExecutionError as error:
             return _routing_replies.make_refusal(error)
         entries = [
-            e
+            owner.status(e.job)
             for phase in _records.JobPhase
             for e in jobs.in_phase(phase)
             if e.spec.gang.account == message.account
@@ -122,7 +123,7 @@
         is_current = self._is_current(message.registrar, message.epoch)
         known = owner.jobs.find_submission(submission)
         if known is not None:
-            return [known]
+            return [owner.status(known.job)]
         is_accepting = any(
             a.spec.submission == submission for a in self._accepting.values()
         )
--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -410,6 +410,27 @@
         assert shown is PHASE.ACTIVE
         await new.close()
 
+    async def test_end_is_shown_once_it_is_stored(self):
+        """Guards against an end that stays hidden, and a cancelled one."""
+        cluster = harness.Cluster()
+        node = harness.Node(cluster, "a")
+        await node.own()
+        await node.owner.submit(harness.make_spec("j", command=("sleep", "3")))
+        await cluster.clock.advance(1)
+        node.store.is_down = node.has_grants = True
+        await cluster.clock.advance(10)
+        assert node.phase("j") is PHASE.ACTIVE
+        task = asyncio.create_task(node.owner.cancel(JobId("j")))
+        await cluster.clock.advance(1)
+        assert task.done()
+        with pytest.raises(execution.NotRunError):
+            await task
+        node.store.is_down = node.has_grants = False
+        await cluster.clock.advance(10)
+        assert node.phase("j") is PHASE.FINISHED
+        assert len(cluster.runs("j")) == 2
+        await node.close()
+
     @pytest.mark.parametrize("fault", ["outage", "takeover"])
     async def test_refusal_of_a_job_in_doubt_is_not_a_not_run(self, fault):
         """Guards against "not run" for a job that a successor runs."""
