Show grants and consents that a restarted member forgets

Seen: two instances may act for one domain at the same time, although each needs a majority of the same view. Interleaving, with members a, b, c and a and b cut off from each other: 1. a, without the store, gets a grant of c, and c restarts within 4 s. c agrees to the takeover by b, while a may act for up to 3.5 s. 2. c agrees to the takeover by b and restarts without the store. It gives the former owner a grant again, for as long as its own outage lasts, and b has counted a as unable to start anything. Cause: both are kept in the memory of the member only, and a request names the instance without its incarnation.

--- a/magnoliaglade/membership/tests/test_membership.py
+++ b/magnoliaglade/membership/tests/test_membership.py
@@ -155,6 +155,35 @@
         assert not await self.collect(collectors["a"], view, "act", 1)
         assert await self.collect(collectors["b"], view, "act", 2)
 
+    def restart(self, clock, hub, name):
+        """Begins a new lifetime of a member that still lacks the store."""
+        membership.GrantIssuer(
+            network=peers.LocalPeerNetwork(hub=hub, instance=InstanceId(name)),
+            clock=clock,
+            store_reachable=lambda: False,
+        )
+
+    async def test_restarted_member_keeps_to_its_grant(self):
+        """Guards against a takeover while the former owner may act."""
+        clock, hub, view, reachable, collectors = self.make("abc")
+        hub.cut(InstanceId("a"), InstanceId("b"))
+        assert await self.collect(collectors["a"], view, "act")
+        await clock.advance(0.5)
+        self.restart(clock, hub, "c")
+        reachable["b"] = True
+        assert not await self.collect(collectors["b"], view, "take-over", 2)
+        assert collectors["a"].remaining_s("jobs.z") > 0
+
+    async def test_restarted_member_keeps_to_its_consent(self):
+        """Guards against grants to a former owner after a takeover."""
+        clock, hub, view, reachable, collectors = self.make("abc")
+        hub.cut(InstanceId("a"), InstanceId("b"))
+        reachable["b"] = True
+        assert await self.collect(collectors["b"], view, "take-over", 2)
+        await clock.advance(10)
+        self.restart(clock, hub, "c")
+        assert not await self.collect(collectors["a"], view, "act", 1)
+
     @pytest.mark.parametrize("first", ["a", "b"])
     async def test_owner_and_delegate_never_act_concurrently(self, first):
         """Guards against a gang that is renewed while its owner restarts it."""
