Show two runs of a gang in a partition that leaves the store to its owner

Seen: a gang runs on two workers at the same time for as long as the partition lasts. Interleaving: owner a with the store and worker w1 on one side; delegate b, a majority of the view and worker w0 with the gang on the other. For b the owner is silent and the store down, its side grants, and it renews the gang on w0. a keeps its lease, misses two renewals of w0, counts the gang as ended 20.7 s after its own last call, records the loss and starts the gang on w1. Cause: an owner with a lease needs no grants, so nothing keeps grants of others from being in effect, and the end is concluded from the owner's own calls alone. The grants are those of the fixture. By reading, the members of the side without the store give them, since they hold no grant of the owner.

--- a/magnoliaglade/execution/tests/test_delegate.py
+++ b/magnoliaglade/execution/tests/test_delegate.py
@@ -10,7 +10,7 @@
 class Fixture:
     """An owner `a` with a running gang and its delegate `b`."""
 
-    async def open(self):
+    async def open(self, *, tasks=4):
         self.cluster = harness.Cluster()
         self.old = harness.Node(self.cluster, "a")
         self.new = harness.Node(self.cluster, "b")
@@ -34,7 +34,7 @@
             choose=lambda: InstanceId("b"),
         )
         await self.old.own(on_renewed=notifier.notify)
-        spec = harness.make_spec("j", tasks=4, command=("sleep", "70"))
+        spec = harness.make_spec("j", tasks=tasks, command=("sleep", "70"))
         await self.old.owner.submit(spec)
         await self.cluster.clock.advance(7)
         return self
@@ -98,3 +98,19 @@
         await fixture.cluster.clock.advance(6)
         assert fixture.delegate.dump() == {}
         await fixture.close()
+
+    async def test_owner_that_reaches_the_store_alone_restarts_once(self):
+        """Guards against two runs in a partition that leaves no store to peers.
+
+        The owner keeps its lease and loses the worker of a gang to the side of
+        its delegate, which has the grants of the majority there.
+        """
+        fixture = await Fixture().open(tasks=2)
+        cluster, old = fixture.cluster, fixture.old
+        fixture.new.store.is_down = True
+        fixture.hub.cut(InstanceId("a"), InstanceId("b"))
+        old.links["w0"].is_cut = fixture.new.links["w1"].is_cut = True
+        await cluster.clock.advance(40)
+        assert old.lease.is_valid
+        assert not cluster.overlaps("j")
+        await fixture.close()
