Show a gang that counts as ended while renewals of its delegate hold

Seen: an evicted gang counts as ended and may start elsewhere while it runs. Interleaving: owner and peers without the store; the owner is cut off from peers and workers for more than 20.7 s and has no grants, its delegate renews the gang; the owner gets the grants back and still does not reach the workers; it evicts the gang, which cannot write a checkpoint, before its next renewal round. The stop is not answered, and the end is counted from the owner's own last call. Cause: the time of the last call ignores calls of the delegate in between. A finding of a round or look is not affected, since each sends a call first.

--- a/magnoliaglade/execution/tests/test_delegate.py
+++ b/magnoliaglade/execution/tests/test_delegate.py
@@ -4,13 +4,13 @@
 
 from magnoliaglade import execution, peers
 from magnoliaglade.execution.tests import harness
-from magnoliaglade.types import InstanceId
+from magnoliaglade.types import InstanceId, JobId
 
 
 class Fixture:
     """An owner `a` with a running gang and its delegate `b`."""
 
-    async def open(self, *, tasks=4):
+    async def open(self, *, tasks=4, **options):
         self.cluster = harness.Cluster()
         self.old = harness.Node(self.cluster, "a")
         self.new = harness.Node(self.cluster, "b")
@@ -34,7 +34,9 @@
             choose=lambda: InstanceId("b"),
         )
         await self.old.own(on_renewed=notifier.notify)
-        spec = harness.make_spec("j", tasks=tasks, command=("sleep", "70"))
+        spec = harness.make_spec(
+            "j", tasks=tasks, command=("sleep", "70"), **options
+        )
         await self.old.owner.submit(spec)
         await self.cluster.clock.advance(7)
         return self
@@ -114,3 +116,24 @@
         assert old.lease.is_valid
         assert not cluster.overlaps("j")
         await fixture.close()
+
+    async def test_eviction_waits_for_renewals_of_the_delegate(self):
+        """Guards against a restart beside a gang that a delegate renewed.
+
+        The owner was without grants for as long as its delegate had them.
+        """
+        fixture = await Fixture().open(checkpointable=False)
+        cluster, old = fixture.cluster, fixture.old
+        old.store.is_down = fixture.new.store.is_down = True
+        fixture.hub.cut(InstanceId("a"), InstanceId("b"))
+        for link in old.links.values():
+            link.is_cut = True
+        await cluster.clock.advance(24)
+        assert len(cluster.running("j")) == 4
+        fixture.has_grants, old.has_grants = False, True
+        attempts = old.owner._term.attempts
+        attempts.evict(JobId("j"))
+        await cluster.clock.advance(0.1)
+        assert attempts.holds(JobId("j"))
+        assert len(cluster.running("j")) == 4
+        await fixture.close()
