Show a removal in effect that a restarted holder forgets

Seen: work may start in a zone whose removal was reported as in effect. Interleaving, five instances without the store: a removal reaches three, a majority, and is reported as in effect; the partition changes so that one of the three is left with the two that missed it, and that one restarts. It asks them, holds no intent, and the three confirm the configuration as a majority. Cause: an intent is in the memory of its holders only until the store returns; that majorities intersect holds for one lifetime of their members. The design names the loss when every instance restarts, not this one.

--- a/magnoliaglade/configuration/tests/test_distribution.py
+++ b/magnoliaglade/configuration/tests/test_distribution.py
@@ -373,6 +373,21 @@
         assert await cluster[NAMES[0]].agent.sync_from_peers() == set(NAMES)
         assert "zone-a" not in cluster[NAMES[0]].gate.startable_zones()
 
+    async def test_restarted_holder_keeps_a_removal_in_effect(self, cluster):
+        """Guards against starts in a zone whose removal was in effect."""
+        cluster.set_outage(True)
+        await cluster.run(4)
+        cluster.separate(NAMES[3:])
+        report = await cluster[NAMES[0]].control.remove("zone-a")
+        assert report.is_in_effect and not report.is_stored
+        cluster.hub.heal()
+        cluster.separate(NAMES[:2])
+        await cluster.restart(NAMES[2])
+        for _ in range(10):
+            await cluster.run(1)
+            for zones in cluster.startable(NAMES[2:]):
+                assert "zone-a" not in zones
+
     @pytest.mark.parametrize("is_stored_first", [False, True])
     async def test_partitioned_writer_does_not_repeat_removal(
         self, cluster, is_stored_first
