Show two runs of an inherited job after a worker left the successor's list

Seen: a job runs twice at the same time. Interleaving: a job is pending; the owner loses the store and has grants of its view; a successor takes over, cannot fence worker w1 and its list drops w1 while w1 and the former owner's list do not know that; the former owner starts the job on w1; 20.7 s later the successor counts the former owner as unable to start anything, without its view's consent, and starts the job on w0. Cause: 'gone from the list' stands for 'fenced or agreed', although the list lags and the former owner reads its own.

--- a/magnoliaglade/execution/tests/test_takeover.py
+++ b/magnoliaglade/execution/tests/test_takeover.py
@@ -265,6 +265,29 @@
         await new.close()
         await old.close()
 
+    async def test_worker_that_left_the_list_is_no_agreement(self):
+        """Guards against two runs when only the successor's list is current."""
+        cluster = harness.Cluster()
+        old, new = harness.Node(cluster, "a"), harness.Node(cluster, "b")
+        old.startable = frozenset()
+        listed = cluster.listed()
+        await old.own(workers=lambda: {WorkerId("w1"): listed["w1"]})
+        await old.owner.submit(harness.make_spec("p"))
+        new.links["w1"].is_cut = old.store.is_down = old.has_grants = True
+        known = dict(listed)
+
+        async def is_agreed(_):
+            return False
+
+        await new.own(workers=lambda: known, is_takeover_agreed=is_agreed)
+        del known[WorkerId("w1")]
+        old.startable = frozenset({harness.ZONE})
+        await cluster.clock.advance(60)
+        assert len(cluster.running("p")) == 2
+        assert not cluster.overlaps("p")
+        await new.close()
+        await old.close()
+
     async def test_nothing_starts_before_intents_are_known(self):
         """Guards against a start in a zone that an intent has removed."""
         cluster = harness.Cluster()
