--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -18,6 +18,7 @@
 from magnoliaglade.platform import testing
 from magnoliaglade.standins import platform as platform_standin
 from magnoliaglade.types import InstanceId, ZoneId
+from tests.soak.addresses import free_address
 
 KEY = "a-key"
 PREFIX = "/proofs/"
@@ -44,13 +45,6 @@
 BODY = b'{"spec":"x","steps":[{"count":2,"cpu":1000,"gpu":1,"gang":true}]}'
 
 
-def free_address():
-    listener = http.bind("127.0.0.1", 0)
-    port = listener.getsockname()[1]
-    listener.close()
-    return Address(host="127.0.0.1", port=port)
-
-
 class Caller:
     def __init__(self, address):
         self.client = http.HttpClient(url=f"http://{address}", timeout_s=5.0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,11 +17,12 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import http
-from magnoliaglade.instance import Address, InstanceSettings, TimeBounds
+from magnoliaglade.instance import InstanceSettings, TimeBounds
 from magnoliaglade.jobs import JobState
 from magnoliaglade.platform import testing
 from magnoliaglade.standins import platform as platform_standin
 from magnoliaglade.types import InstanceId, ZoneId
+from tests.soak.addresses import free_address
 from tests.soak.proxy import Link, Proxy
 
 KEY = "soak-key"
@@ -345,10 +346,3 @@
 
 _STATUSES = frozenset({200, 401, 404, 410, 503, 504})
 _FINAL = frozenset({JobState.COMPLETED.value, JobState.FAILED.value})
-
-
-def free_address():
-    listener = http.bind("127.0.0.1", 0)
-    port = listener.getsockname()[1]
-    listener.close()
-    return Address(host="127.0.0.1", port=port)
