--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -295,7 +295,8 @@
             return None
         state = progress.state
         if progress.end_position > self.journal.stored_position:
-            # The start of the run that ended is stored.
+            # The start of the run that ended is stored, so a successor also
+            # shows the job as running.
             state = jobs.JobState.RUNNING
         if not state.is_final and not self.permission.may_renew():
             # A successor may have changed the state by now; a stored final
--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -314,7 +314,8 @@
         if has_pending_end or not self.lease.is_synchronized:
             return 0.0
         if self._may_have_restarted:
-            # Orders are withheld or repeated only once its lifetime is known.
+            # Its runs count as lost, and late starts are made void, only once
+            # its lifetime is known.
             return 0.0
         if self.owner.is_busy(self.worker):
             return BUSY_POLL_WAIT_S
--- a/magnoliaglade/jobs/_progress.py
+++ b/magnoliaglade/jobs/_progress.py
@@ -55,9 +55,11 @@
 class LossCause(enum.Enum):
     """Why a run without a reported end counts as lost.
 
+    NOT_SENT: its start was not sent. REFUSED: its worker refused the start.
     MISSING: a report of its worker, requested after its start was settled,
     lists it neither as running nor as ended. RESTARTED: the same, by another
     lifetime of the worker. REPLACED: another worker answers at the address.
+    LEASE_ENDED: its worker is silent, and its lease has certainly ended.
     """
 
     NOT_SENT = "not sent"
