Take ports of the review's instances from below the ephemeral range

Cause: a port that was found free could be taken by an outgoing connection before the instance bound it; a script that was ended left its instances.

--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -46,6 +47,7 @@
     "restoreMs": 250,
 }
 READY_TIMEOUT_S = 20.0
+_PORTS = (18_000, 30_000)
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
 
 
@@ -298,13 +300,14 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            found = stack.enter_context(socket.socket())
-            found.bind(("127.0.0.1", 0))
-            ports.append(found.getsockname()[1])
-        return ports
+    """Returns free ports below the range of outgoing connections."""
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as found, contextlib.suppress(OSError):
+            found.bind(("127.0.0.1", port))
+            ports.add(port)
+    return list(ports)
 
 
 def has_trouble() -> bool:
@@ -324,13 +327,18 @@
     """
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115.0):
                 await deployment.start()
                 has_held = await check(deployment)
             deployment.log(f"the rule {'held' if has_held else 'was broken'}")
             return EXIT_HELD if has_held else EXIT_BROKEN
-        except (NotRunError, TimeoutError) as error:
+        except (NotRunError, TimeoutError, asyncio.CancelledError) as error:
             deployment.log(f"not run: {error!r}")
             return EXIT_NOT_RUN
         finally:
