--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import signal
 import socket
@@ -27,6 +28,8 @@
 from urllib import parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Ports of the instances; outgoing connections use higher ones.
+INSTANCE_PORTS = (20_000, 32_000)
 # Longest time that a case takes, in seconds, before it is given up.
 LIMIT_S = 100.0
 HOST = os.environ.get("CASE_HOST", "127.0.0.1")
@@ -1116,11 +1119,26 @@
     return uuid.uuid4().hex[:16]
 
 
+_taken_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.socket() as found:
-        found.bind((HOST, 0))
-        return int(found.getsockname()[1])
+    """Returns a port that is free now.
+
+    It is below the ports that outgoing connections use, which could take it
+    while its instance is down.
+    """
+    while True:
+        port = random.randint(*INSTANCE_PORTS)  # noqa: S311
+        if port in _taken_ports:
+            continue
+        with socket.socket() as found:
+            try:
+                found.bind((HOST, port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
 
 
 def has_trouble() -> bool:
