--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -1153,10 +1153,15 @@
 
     async def play() -> int:
         deployment = Deployment(folder / "record.txt")
+        task = asyncio.current_task()
+        assert task is not None
+        # At the time limit, the instances are ended before the case exits.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 await case(deployment)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.record.write("case-failed", error=repr(error))
             return 2
         finally:
