--- a/magnoliaglade/placement/_capacity_tracker.py
+++ b/magnoliaglade/placement/_capacity_tracker.py
@@ -1,7 +1,8 @@
 """Tracks the free capacity of workers while a plan is built."""
 
 import collections
-from collections.abc import Iterable
+import functools
+from collections.abc import Callable, Iterable
 
 from magnoliaglade.jobs import Resources
 from magnoliaglade.placement._model import (
@@ -96,6 +97,10 @@
             count = min(count, demand.max_per_worker - used)
         return max(0, count)
 
+    def slots_with_releasing(self, demand: Demand) -> Callable[[WorkerId], int]:
+        """Returns `slots` that counts runs that are stopping as free."""
+        return functools.partial(self.slots, demand, include_releasing=True)
+
     def has_placed(self, unit: UnitId) -> bool:
         """Returns whether a task of a unit is on any worker."""
         return unit in self._placed_units
--- a/magnoliaglade/placement/_claims.py
+++ b/magnoliaglade/placement/_claims.py
@@ -21,8 +21,16 @@
 def valid_claims(
     claims: Iterable[Claim], *, now_s: float
 ) -> Mapping[UnitId, Claim]:
-    """Returns the claims that have not expired, by unit."""
-    return {c.unit: c for c in claims if now_s - c.ordered_at_s <= CLAIM_TTL_S}
+    """Returns the claims that have not expired, by unit.
+
+    The capacity of a gang that waits for ends of other runs is not claimed: it
+    is weighed again in each plan.
+    """
+    return {
+        c.unit: c
+        for c in claims
+        if not c.is_wait and now_s - c.ordered_at_s <= CLAIM_TTL_S
+    }
 
 
 def order_by_claim(
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -25,6 +26,40 @@
     step: StepKey
 
 
+class PlacementOption(enum.Enum):
+    """How an urgent gang with a rack constraint gets its workers.
+
+    Attributes:
+        ON_RACK: on its rack at once.
+        LATER: on its rack, after a wait for capacity.
+        PREEMPTION: on its rack, after runs there were preempted.
+        OFF_RACK: off its rack at once, or when stopping runs have ended.
+        OFF_RACK_PREEMPTION: off its rack, after runs were preempted.
+    """
+
+    ON_RACK = "on-rack"
+    LATER = "later"
+    PREEMPTION = "preemption"
+    OFF_RACK = "off-rack"
+    OFF_RACK_PREEMPTION = "off-rack-preemption"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GangChoice:
+    """The option that was taken for a gang, and why.
+
+    Attributes:
+        option: the option.
+        reason: why it was taken.
+        values: the options that were weighed, with the value of each for the
+            caller as a ratio to a result on time, less its cost.
+    """
+
+    option: PlacementOption
+    reason: str
+    values: tuple[tuple[PlacementOption, float], ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
     """A worker, as input to a plan.
@@ -115,6 +150,7 @@
         latest_start_s: latest start that still meets the objective.
         latest_useful_start_s: latest start at which the result is still worth
             something.
+        has_begun: a run of the job has begun before.
     """
 
     unit: UnitId
@@ -134,6 +170,7 @@
     estimate_s: float
     latest_start_s: float
     latest_useful_start_s: float
+    has_begun: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -143,12 +180,17 @@
     Attributes:
         unit: the step run.
         placement: pairs of task index and worker.
-        ordered_at_s: when the stops were ordered.
+        ordered_at_s: when the stops were ordered, or the wait began.
+        choice: the option that was taken, for a gang with a rack constraint.
+        is_wait: the gang waits for runs that end by themselves. The placement
+            is chosen again by each plan.
     """
 
     unit: UnitId
     placement: tuple[tuple[int, WorkerId], ...]
     ordered_at_s: float
+    choice: GangChoice | None = None
+    is_wait: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -183,11 +225,14 @@
         unit: the step run.
         placement: pairs of task index and worker.
         is_spread: the tasks are a gang and run on more than one rack.
+        choice: the option that was taken, for an urgent gang with a rack
+            constraint.
     """
 
     unit: UnitId
     placement: tuple[tuple[int, WorkerId], ...]
     is_spread: bool = False
+    choice: GangChoice | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/standins/pool.py
+++ b/magnoliaglade/standins/pool.py
@@ -37,8 +37,10 @@
 # Shortest time between two plans and longest one, in seconds.
 PLAN_S = 0.05
 IDLE_PLAN_S = 0.25
-# A gang or task off its rack runs this many times longer.
-FAR_FACTOR = 3.0
+# A gang off its rack runs this many times longer, unless stated otherwise.
+OFF_RACK_SLOWDOWN = 3.0
+# Part of a run from which its end is known from its progress.
+MIN_PROGRESS = 0.05
 # An occurrence that ends within this many times its objective is late, and
 # worth nothing afterwards.
 LATE_FACTOR = 3.0
@@ -100,13 +102,19 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Run:
-    """A task on a worker; `ends_at_s` is infinite while it is stopping."""
+    """A task on a worker; `ends_at_s` is infinite while it is stopping.
+
+    Attributes:
+        slowdown: its run time as a ratio to that on an average worker near its
+            data.
+    """
 
     job: LoadJob
     index: int
     worker: WorkerId
     began_at_s: float
     ends_at_s: float
+    slowdown: float
     frees_at_s: float = float("inf")
 
 
@@ -122,6 +130,8 @@
         done: runs that ended.
         waited_s: time from submission to start of the whole job, by job.
         ended_at_s: when jobs were complete.
+        on_time: names of the jobs that met their objective.
+        spread: gangs that were started off their rack.
     """
 
     earned: float = 0.0
@@ -131,12 +141,20 @@
     done: int = 0
     waited_s: dict[str, float] = dataclasses.field(default_factory=dict)
     ended_at_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    on_time: set[str] = dataclasses.field(default_factory=set)
+    spread: int = 0
 
 
 def make_workers(
-    count: int, *, per_rack: int, capacity: Resources
+    count: int,
+    *,
+    per_rack: int,
+    capacity: Resources,
+    speeds: tuple[float, ...] = (1.0,),
+    seed: int = 0,
 ) -> tuple[Candidate, ...]:
-    """Returns sound workers in racks."""
+    """Returns sound workers in racks, each with one of the speeds."""
+    rng = random.Random(f"{seed}/speeds")
     return tuple(
         Candidate(
             worker=WorkerId(f"w{n:04}"),
@@ -146,6 +164,7 @@
             labels=frozenset({f"r{n // per_rack}"}),
             capacity=capacity,
             is_schedulable=True,
+            speed=rng.choice(speeds),
         )
         for n in range(count)
     )
@@ -161,6 +180,7 @@
         stop_s: time that a stop takes, in seconds.
         run_times: predicts run times from declared ones; learns from the jobs
             that end.
+        off_rack_slowdown: factor on the run time of a gang off its rack.
         sacrificed: work thrown away for each unit, in core-seconds.
     """
 
@@ -172,15 +192,18 @@
         guarantees: dict[str, int] | None = None,
         stop_s: float = 0.2,
         run_times: placement.RunTimeEstimator | None = None,
+        off_rack_slowdown: float = OFF_RACK_SLOWDOWN,
     ) -> None:
         self.planner = planner
         self.workers = tuple(workers)
         self.guarantees = guarantees or {}
         self.stop_s = stop_s
         self.run_times = run_times or placement.RunTimeEstimator(max_units=0)
+        self.off_rack_slowdown = off_rack_slowdown
         self.outcome = Outcome()
         self.plans: list[tuple[float, placement.Plan]] = []
         self._racks = {c.worker: c.rack for c in self.workers}
+        self._speeds = {c.worker: c.speed for c in self.workers}
         self._now_s = 0.0
         self._waiting: dict[str, set[int]] = {}
         self._jobs: dict[str, LoadJob] = {}
@@ -245,6 +268,7 @@
         self.outcome.ended_at_s[job.name] = self._now_s
         if took_s <= job.objective_s:
             self.outcome.earned += job.worth
+            self.outcome.on_time.add(job.name)
         elif took_s <= LATE_FACTOR * job.objective_s:
             self.outcome.earned += job.late_worth
         del self._jobs[job.name]
@@ -292,16 +316,22 @@
     def _start(self, start: placement.Start) -> None:
         job = self._jobs[str(start.unit.job)]
         racks = {self._racks[w] for _, w in start.placement}
-        is_far = job.same_rack and len(racks) > 1
-        work_s = job.work_s * (FAR_FACTOR if is_far else 1.0)
+        is_spread = job.same_rack and len(racks) > 1
+        self.outcome.spread += is_spread
+        far = self.off_rack_slowdown if is_spread else 1.0
+        slowest = min(self._speeds[w] for _, w in start.placement)
         for index, worker in start.placement:
+            # A gang is as slow as its slowest member.
+            speed = slowest if job.is_gang else self._speeds[worker]
+            slowdown = far / speed
             self._waiting[job.name].discard(index)
             self._runs[job.name, index] = _Run(
                 job=job,
                 index=index,
                 worker=worker,
                 began_at_s=self._now_s,
-                ends_at_s=self._now_s + ORDER_S + work_s,
+                ends_at_s=self._now_s + ORDER_S + job.work_s * slowdown,
+                slowdown=slowdown,
             )
         if not self._waiting[job.name]:
             waited_s = self._now_s - job.arrives_at_s
@@ -380,9 +410,16 @@
             is_stopping=run.frees_at_s != float("inf"),
             is_gang=run.job.is_gang,
             loss_s=min(elapsed_s, ORDER_S) if is_saving else elapsed_s,
-            ends_at_s=run.began_at_s + run.job.estimate_s,
+            ends_at_s=self._expected_end_s(run),
         )
 
+    def _expected_end_s(self, run: _Run) -> float:
+        """Returns the end that reports of the progress let one expect."""
+        run_time_s = run.job.work_s * run.slowdown
+        if self._now_s - run.began_at_s > MIN_PROGRESS * run_time_s:
+            return run.began_at_s + ORDER_S + run_time_s
+        return run.began_at_s + run.job.estimate_s * run.slowdown
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoadShape:
