--- a/magnoliaglade/placement/_gang_placement.py
+++ b/magnoliaglade/placement/_gang_placement.py
@@ -108,23 +108,46 @@
             Whether it was started, has capacity later, or waits for the next
             plan.
         """
-        searches_left_out = self.preemptor.is_exhausted
-        options = self._collect(demand, groups, pool)
+        if self._must_wait_for_searches(demand):
+            options = self._on_rack_now(demand, groups)
+        else:
+            options = self._collect(demand, groups, pool)
         if not options:
-            return False
+            return self._wait_for_searches(demand)
         prospect, choice = _rack_choice.choose(
             demand,
             [o.prospect for o in options],
             late_ratio=self.late_ratio,
         )
         best = next(o for o in options if o.prospect is prospect)
-        searches_left_out |= self.preemptor.is_exhausted
-        if self._is_postponed(demand, prospect, searches_left_out):
-            self.postponed.add(demand.unit)
-            return searches_left_out
+        if _rack_choice.on_time_share(demand, prospect) == 0.0:
+            if self._wait_for_searches(demand):
+                return True
+            if self._loses_nothing_by_waiting(demand, prospect):
+                self.postponed.add(demand.unit)
+                return False
         self._carry_out(demand, best, choice)
         return True
 
+    def _must_wait_for_searches(self, demand: Demand) -> bool:
+        """Returns whether a gang should wait until all options are known.
+
+        The number of searches in one plan is bounded, and another plan follows
+        shortly. A gang that took what is known without a search would often
+        start off its rack.
+        """
+        return (
+            self.preemptor.is_exhausted
+            and self._now_s < self._latest_begin_s(demand)
+        )
+
+    def _wait_for_searches(self, demand: Demand) -> bool:
+        """Leaves a gang to the next plan if searches were left out."""
+        if not self._must_wait_for_searches(demand):
+            return False
+        self._add_wait(demand, placement=(), choice=None)
+        return True
+
     def _collect(
         self, demand: Demand, groups: Sequence[Group], pool: Group
     ) -> list[_Option]:
@@ -244,6 +267,7 @@
                 PlacementOption.LATER,
                 run_s=self._run_s(demand, workers),
                 delay_s=delay_s,
+                cost=_rack_choice.WAIT_COST,
                 waits_s=delay_s,
             )
             options.append(_Option(prospect=prospect, workers=workers))
@@ -373,18 +397,14 @@
             for found in self.preemptor.options(demand, [pool], extra_s=extra_s)
         ]
 
-    def _is_postponed(
-        self, demand: Demand, prospect: Prospect, searches_left_out: bool
+    def _loses_nothing_by_waiting(
+        self, demand: Demand, prospect: Prospect
     ) -> bool:
-        """Returns whether the gang is left to a later plan.
+        """Returns whether a late gang may wait for the end of other runs.
 
-        Either not all options are known, or a gang without a guarantee would
-        be late by any of them and loses nothing by a wait for another end.
+        It has no guarantee, would be late by any option, and the option that it
+        would take is worth as much later.
         """
-        if _rack_choice.on_time_share(demand, prospect) > 0.0:
-            return False
-        if searches_left_out and self._now_s < self._latest_begin_s(demand):
-            return True
         if demand.is_guaranteed or self._now_s > demand.latest_start_s:
             return False
         delayed = dataclasses.replace(
@@ -409,7 +429,11 @@
             <= self._now_s + _rack_choice.START_S
         )
         if is_startable:
-            if wait and choice.option is PlacementOption.ON_RACK:
+            if (
+                wait
+                and wait.choice
+                and choice.option is PlacementOption.ON_RACK
+            ):
                 choice = dataclasses.replace(
                     choice, option=PlacementOption.LATER
                 )
@@ -420,6 +444,16 @@
             self._holds += 1
             self.tracker.allocate(demand, option.workers)
             placement = tuple(zip(demand.indexes, option.workers, strict=True))
+        self._add_wait(demand, placement=placement, choice=choice)
+
+    def _add_wait(
+        self,
+        demand: Demand,
+        *,
+        placement: tuple[tuple[int, WorkerId], ...],
+        choice: GangChoice | None,
+    ) -> None:
+        wait = self.waits.get(demand.unit)
         self.claims.append(
             Claim(
                 unit=demand.unit,
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -39,8 +39,8 @@
 MAX_SEARCHES = 16
 # A late result is worth about a fifth of a timely one to the client.
 LATE_LOSS_RATIO = 0.2
-# Cost of work that is thrown away for an urgent gang, per work of the gang, as a
-# ratio to the value of a timely result. A core-second of batch work is worth
+# Cost of work that is thrown away for an urgent gang, per work of the gang, as
+# a ratio to the value of a timely result. A core-second of batch work is worth
 # about a twentieth of one of urgent work to callers, or less.
 LOSS_PRICE = 0.05
 # Factor by which work off its rack is slowed down, if none is stated.
--- a/magnoliaglade/placement/_rack_choice.py
+++ b/magnoliaglade/placement/_rack_choice.py
@@ -34,6 +34,9 @@
 # Relative error of an expected end. It is about the error of the speeds, of
 # which steps of 0.2 are not distinguished.
 END_ERROR = 0.1
+# Cost of relying on the ends of other runs, which are estimates, as a ratio to
+# the value of a timely result.
+WAIT_COST = 0.1
 # Difference of value below which two options count as equal.
 VALUE_TOLERANCE = 0.02
 # Lowest speed that an expected run time is computed with.
@@ -196,6 +199,8 @@
     A set of equally fast workers comes before the set that includes faster
     ones, on which a gang with a slower member gains nothing.
     """
+    if len({(c.speed, c.is_overdue) for c in group}) <= 1:
+        return [list(group)]
     steps = {c.worker: speed_step(c) for c in group}
     distinct = sorted(set(steps.values()), reverse=True)
     if len(distinct) <= 1:
--- a/magnoliaglade/placement/_rack_outlook.py
+++ b/magnoliaglade/placement/_rack_outlook.py
@@ -22,7 +22,7 @@
         self.stop_s = stop_s
         self._now_s = tracker.snapshot.now_s
         self._ends: dict[WorkerId, list[tuple[float, Allocation]]] = {}
-        self._ending: dict[WorkerId, Resources] = {}
+        self._ending: dict[WorkerId, int] = {}
 
     def earliest(
         self, demand: Demand, group: Sequence[Candidate], *, until_s: float
@@ -67,14 +67,19 @@
         return None
 
     def _is_feasible(self, demand: Demand, group: Sequence[Candidate]) -> bool:
+        """Returns whether the accelerators suffice after all ends in time."""
+        need = demand.resources.accelerators
+        if not need:
+            return True
         total = 0
         for candidate in group:
-            self._ends_on(candidate.worker)
-            total += self.tracker.slots(
-                demand,
-                candidate.worker,
-                extra=self._ending[candidate.worker],
-            )
+            worker = candidate.worker
+            if worker not in self._ends:
+                self._ends_on(worker)
+            free = self.tracker.free[worker].accelerators
+            free += self._ending[worker]
+            if free >= need:
+                total += free // need
         return total >= len(demand.indexes)
 
     def _ends_on(self, worker: WorkerId) -> list[tuple[float, Allocation]]:
@@ -87,7 +92,7 @@
                 if (at_s := self._end_s(allocation)) <= latest_s
             ]
             self._ends[worker] = ends
-            self._ending[worker] = sum((a.demand for _, a in ends), Resources())
+            self._ending[worker] = sum(a.demand.accelerators for _, a in ends)
         return self._ends[worker]
 
     def _end_s(self, allocation: Allocation) -> float:
