Weigh the options of gangs by settings, and log the option taken

bounds.crossRackFactor and bounds.reclaimMs are decoded into the instance's settings and passed to the planner with stopMs. Where no factor is stated, racks don't matter. Batch work that may run anywhere goes to the fullest rack.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -93,6 +93,8 @@
         observe_plan: called with the duration of each plan, in seconds.
         observe_waste: called with the cause and the core-seconds of wasted
             work.
+        observe_gang: called with the option of each start of an urgent gang
+            with a rack constraint.
         observe_unexpected: called with the kind of each run or end that a
             worker lists although the run counts as ended.
     """
@@ -113,6 +115,9 @@
         planner: placement.Planner,
         observe_plan: Callable[[float], None] = lambda _: None,
         observe_waste: Callable[[str, float], None] = lambda *_: None,
+        observe_gang: Callable[[placement.PlacementOption], None] = lambda _: (
+            None
+        ),
         observe_unexpected: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.store = store
@@ -128,6 +133,7 @@
         self.planner = planner
         self.observe_plan = observe_plan
         self.observe_waste = observe_waste
+        self.observe_gang = observe_gang
         self.observe_unexpected = observe_unexpected
         self._waste = WasteLog(observe_waste=observe_waste)
         self.table = JobTable()
@@ -194,6 +200,7 @@
                 on_stall=self._record_stall,
             ),
             observe_plan=observe_plan,
+            observe_gang=observe_gang,
             on_planned=self._store_progress,
             on_lost=self._end_lost_run,
         )
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, observability, placement
@@ -52,6 +53,8 @@
         clock: source of time.
         run_monitor: stops runs that have stalled or would outlast their worker.
         observe_plan: called with the duration of each plan, in seconds.
+        observe_gang: called with the option of each start of an urgent gang
+            with a rack constraint.
         on_planned: called with a job whose planned runs have to be stored.
         on_lost: called with job, task and run of a start that is not sent.
         wake: event that is set when something has changed.
@@ -72,6 +75,9 @@
         observe_plan: Callable[[float], None],
         on_planned: Callable[[JobProgress], None],
         on_lost: Callable[[JobProgress, TaskKey, int], None],
+        observe_gang: Callable[[placement.PlacementOption], None] = lambda _: (
+            None
+        ),
     ) -> None:
         self.planner = planner
         self.snapshot_builder = snapshot_builder
@@ -85,6 +91,7 @@
         self.observe_plan = observe_plan
         self.on_planned = on_planned
         self.on_lost = on_lost
+        self.observe_gang = observe_gang
         self.wake = asyncio.Event()
         self._claims: tuple[placement.Claim, ...] = ()
         self._lost_core_s: dict[placement.UnitId, float] = {}
@@ -202,7 +209,10 @@
                 wall_s - progress.job.arrived_at_s(start.unit.step.occurrence),
                 3,
             ),
+            **_describe_choice(start.choice),
         )
+        if start.choice:
+            self.observe_gang(start.choice.option)
         if spec.is_gang:
             return [_StartGroup(progress=progress, members=members)]
         return [_StartGroup(progress=progress, members=[m]) for m in members]
@@ -303,3 +313,14 @@
                 preemption.index,
                 cause,
             )
+
+
+def _describe_choice(choice: placement.GangChoice | None) -> dict[str, Any]:
+    """Returns log fields that say which option was taken and why."""
+    if choice is None:
+        return {}
+    return {
+        "option": choice.option.value,
+        "option_reason": choice.reason,
+        "option_values": [[o.value, value] for o, value in choice.values],
+    }
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -264,6 +264,7 @@
             estimate_s=plannable.run_times_s[key.step],
             latest_start_s=objective_at_s - remaining_s,
             latest_useful_start_s=latest_end_s - remaining_s,
+            has_begun=progress.has_started,
         )
 
     def _exclude_workers(
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -228,9 +228,14 @@
                 evacuate_s=bounds.evacuate_s,
                 drain_s=bounds.drain_s,
             ),
-            planner=placement.Planner(),
+            planner=placement.Planner(
+                off_rack_slowdown=bounds.off_rack_slowdown,
+                reclaim_s=bounds.reclaim_s,
+                stop_s=bounds.stop_s,
+            ),
             observe_plan=self.metrics.plan_duration.observe,
             observe_waste=self._observe_waste,
+            observe_gang=self._observe_gang,
             observe_unexpected=self._observe_unexpected,
         )
         try:
@@ -274,6 +279,9 @@
     def _observe_waste(self, cause: str, core_s: float) -> None:
         self.metrics.wasted_work.labels(cause).inc(core_s)
 
+    def _observe_gang(self, option: placement.PlacementOption) -> None:
+        self.metrics.gang_placements.labels(option.value).inc()
+
     def _observe_unexpected(self, kind: str) -> None:
         self.metrics.unexpected_runs.labels(kind).inc()
 
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -38,6 +38,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self.gang_placements = prometheus_client.Counter(
+            "magnoliaglade_gang_placements",
+            "Starts of urgent gangs with a rack constraint, by option.",
+            ["option"],
+            registry=self.registry,
+        )
         self.unexpected_runs = prometheus_client.Counter(
             "magnoliaglade_unexpected_runs",
             "Runs and ends that workers list though the run counts as ended.",
--- a/magnoliaglade/instance/_settings.py
+++ b/magnoliaglade/instance/_settings.py
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimeBounds:
-    """Time bounds that the platform states for this deployment, in seconds.
+    """Bounds that the platform states for this deployment; times in seconds.
 
     Attributes:
         longest_lease_s: longest lease of a run that a worker accepts.
@@ -35,6 +35,10 @@
         restore_s: time that a run takes to resume from a checkpoint.
         evacuate_s: time after which nothing may start in a removed zone.
         drain_s: time after which nothing may start on a draining worker.
+        reclaim_s: time from acceptance within which a guaranteed job of
+            priority 0 has begun.
+        off_rack_slowdown: factor on the run time of work off its rack; 1 if
+            racks don't matter.
     """
 
     longest_lease_s: float = 6.0
@@ -45,6 +49,8 @@
     restore_s: float = 0.25
     evacuate_s: float = 5.0
     drain_s: float = 2.0
+    reclaim_s: float = 2.7
+    off_rack_slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/magnoliaglade/placement/_capacity_tracker.py
+++ b/magnoliaglade/placement/_capacity_tracker.py
@@ -21,6 +21,7 @@
     """Tracks capacity of each worker that is free or being released.
 
     Attributes:
+        do_racks_matter: work off its rack is slower in this deployment.
         free: capacity that is free now, by worker.
         releasing: capacity of runs that are stopping, by worker.
         reserved_until_s: time at which the gang that holds the reservation
@@ -28,8 +29,11 @@
         allocations: allocations by worker.
     """
 
-    def __init__(self, *, snapshot: Snapshot) -> None:
+    def __init__(
+        self, *, snapshot: Snapshot, do_racks_matter: bool = False
+    ) -> None:
         self.snapshot = snapshot
+        self.do_racks_matter = do_racks_matter
         self.candidates = {c.worker: c for c in snapshot.candidates}
         self.free = {c.worker: c.capacity for c in snapshot.candidates}
         self.releasing: dict[WorkerId, Resources] = {}
--- a/magnoliaglade/placement/_gang_placement.py
+++ b/magnoliaglade/placement/_gang_placement.py
@@ -125,6 +125,8 @@
                 return True
             if self._loses_nothing_by_waiting(demand, prospect):
                 self.postponed.add(demand.unit)
+                if demand.unit in self.waits:
+                    self._add_wait(demand, placement=(), choice=None)
                 return False
         self._carry_out(demand, best, choice)
         return True
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from magnoliaglade.placement._capacity_tracker import CapacityTracker
 from magnoliaglade.placement._model import Candidate, Demand
@@ -63,9 +63,12 @@
     if not usable:
         return []
     free_in_rack = _free_accelerators_by_rack(candidates, tracker)
+    rack_rank = (
+        free_in_rack if _fills_racks(demand, tracker) else collections.Counter()
+    )
     usable.sort(
         key=lambda c: (
-            _preference(c, demand, tracker),
+            _preference(c, demand, tracker, rack_rank),
             free_in_rack[c.rack],
             c.worker,
         )
@@ -80,8 +83,11 @@
 
 
 def _preference(
-    candidate: Candidate, demand: Demand, tracker: CapacityTracker
-) -> tuple[float, bool, float, int, int]:
+    candidate: Candidate,
+    demand: Demand,
+    tracker: CapacityTracker,
+    rack_rank: Mapping[RackId, int],
+) -> tuple[float, bool, float, int, int, int]:
     free = tracker.free[candidate.worker]
     need = demand.resources.accelerators
     unused_accelerators = free.accelerators % need if need else 0
@@ -89,11 +95,22 @@
         candidate.suspicion,
         bool(demand.data_rack) and demand.data_rack not in candidate.labels,
         _slowness(candidate, demand),
+        rack_rank[candidate.rack],
         unused_accelerators,
         free.accelerators,
     )
 
 
+def _fills_racks(demand: Demand, tracker: CapacityTracker) -> bool:
+    """Returns whether a demand goes to the rack that is fullest already.
+
+    Batch work that may run anywhere would otherwise hold a few accelerators of
+    each rack, so that no rack is ever free for a gang that needs one.
+    """
+    has_rack = demand.same_rack or bool(demand.data_rack)
+    return tracker.do_racks_matter and demand.priority > 0 and not has_rack
+
+
 def _slowness(candidate: Candidate, demand: Demand) -> float:
     """Returns a sort key: fast workers first for urgent tasks.
 
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -117,7 +117,10 @@
     def __init__(self, *, planner: Planner, snapshot: Snapshot) -> None:
         self.planner = planner
         self.snapshot = snapshot
-        self.tracker = CapacityTracker(snapshot=snapshot)
+        self.tracker = CapacityTracker(
+            snapshot=snapshot,
+            do_racks_matter=planner.off_rack_slowdown > 1.0,
+        )
         self.starts: list[Start] = []
         self.claims: list[Claim] = []
         self.reserved_gangs = 0
@@ -152,13 +155,9 @@
             if _packing.is_unfit_for_urgent_work(c)
         )
 
-    @property
-    def _do_racks_matter(self) -> bool:
-        return self.planner.off_rack_slowdown > 1.0
-
     def build(self) -> Plan:
         demands = self.snapshot.demands
-        if not self._do_racks_matter:
+        if not self.tracker.do_racks_matter:
             demands = tuple(_without_rack(d) for d in demands)
         ordered = _order.order_demands(demands, now_s=self.snapshot.now_s)
         for demand in _claims.order_by_claim(ordered, self._claims):
--- a/magnoliaglade/placement/tests/builders.py
+++ b/magnoliaglade/placement/tests/builders.py
@@ -40,6 +40,7 @@
     is_schedulable=True,
     labels=(),
     is_quarantined=False,
+    speed=1.0,
 ):
     return Candidate(
         worker=WorkerId(name),
@@ -51,12 +52,18 @@
         is_schedulable=is_schedulable,
         suspicion=suspicion,
         is_quarantined=is_quarantined,
+        speed=speed,
     )
 
 
-def racks(count, *, size=4):
+def racks(count, *, size=4, speeds=()):
+    """Returns racks of workers; `speeds` lists those of each rack's workers."""
     return tuple(
-        candidate(f"w{r}{i}", rack=f"r{r}")
+        candidate(
+            f"w{r}{i}",
+            rack=f"r{r}",
+            speed=speeds[r][i] if speeds else 1.0,
+        )
         for r in range(count)
         for i in range(size)
     )
--- a/magnoliaglade/platform/_boot.py
+++ b/magnoliaglade/platform/_boot.py
@@ -80,6 +80,12 @@
         restore_s=seconds("restoreMs", default.restore_s, seconds_per_ms),
         evacuate_s=seconds("evacuateMs", default.evacuate_s, seconds_per_ms),
         drain_s=seconds("drainMs", default.drain_s, seconds_per_ms),
+        reclaim_s=seconds("reclaimMs", default.reclaim_s, seconds_per_ms),
+        # A factor below 1 would make work faster off its rack, which no
+        # deployment states; it is read as 1.
+        off_rack_slowdown=max(
+            default.off_rack_slowdown, bounds.number("crossRackFactor")
+        ),
     )
 
 
--- a/magnoliaglade/platform/tests/test_decoding.py
+++ b/magnoliaglade/platform/tests/test_decoding.py
@@ -247,6 +247,40 @@
         with pytest.raises(InstanceSettingsError, match=named):
             _boot.load_settings(path)
 
+    @pytest.mark.parametrize(
+        ("bounds", "slowdown", "reclaim_s", "stop_s"),
+        [
+            ({}, 1.0, 2.7, 0.4),
+            ({"crossRackFactor": 1}, 1.0, 2.7, 0.4),
+            ({"crossRackFactor": 0.5}, 1.0, 2.7, 0.4),
+            (
+                {"crossRackFactor": 3, "reclaimMs": 2900, "stopMs": 200},
+                3.0,
+                2.9,
+                0.2,
+            ),
+        ],
+    )
+    def test_bounds_of_gangs(
+        self, tmp_path, bounds, slowdown, reclaim_s, stop_s
+    ):
+        # Guards against waits for a rack in deployments without such a factor,
+        # and against waits beyond the time of a reclaim.
+        fields = {
+            "node": "n",
+            "zone": "a",
+            "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+            "internalPorts": [3, 3],
+            "platform": {"address": "127.0.0.1:4"},
+            "bounds": bounds,
+        }
+        path = tmp_path / "boot.json"
+        path.write_bytes(orjson.dumps(fields))
+        found = _boot.load_settings(path).bounds
+        assert found.off_rack_slowdown == slowdown
+        assert found.reclaim_s == pytest.approx(reclaim_s)
+        assert found.stop_s == pytest.approx(stop_s)
+
 
 class TestBoundary:
     def test_wire_names_stay_in_the_adapter(self):
