Document the choice of rack, and split the placement of gangs

The options of a gang, their choice and what carries it out are modules of their own. A gang with a claim starts elsewhere only if it ends no later there.

--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -5,7 +5,6 @@
 
 import dataclasses
 import functools
-from collections.abc import Sequence
 
 from magnoliaglade import base
 from magnoliaglade.placement import (
@@ -15,9 +14,11 @@
     _packing,
     _preemptor,
     _rack_choice,
+    _rack_groups,
     _reservations,
 )
 from magnoliaglade.placement._capacity_tracker import CapacityTracker
+from magnoliaglade.placement._gang_options import OptionFinder
 from magnoliaglade.placement._gang_placement import GangPlacer
 from magnoliaglade.placement._model import (
     Candidate,
@@ -130,29 +131,37 @@
         self._preemptor = _preemptor.Preemptor(
             snapshot=snapshot,
             tracker=self.tracker,
-            pack=self._pack,
             max_loss_ratio=planner.max_loss_ratio,
             late_loss_ratio=planner.late_loss_ratio,
             max_searches=planner.max_searches,
         )
-        self._gang_placer = GangPlacer(
-            snapshot=snapshot,
+        self._gang_placer = self._make_gang_placer()
+        self._rejections = RejectionCache()
+        self._unfit_workers = frozenset(
+            c.worker
+            for c in snapshot.candidates
+            if _packing.is_unfit_for_urgent_work(c)
+        )
+
+    def _make_gang_placer(self) -> GangPlacer:
+        planner = self.planner
+        return GangPlacer(
             tracker=self.tracker,
             preemptor=self._preemptor,
+            finder=OptionFinder(
+                tracker=self.tracker,
+                preemptor=self._preemptor,
+                stop_s=planner.stop_s,
+                off_rack_slowdown=planner.off_rack_slowdown,
+                late_ratio=planner.late_loss_ratio,
+                loss_price=planner.loss_price,
+            ),
             limits=_rack_choice.WaitLimits(
                 reclaim_s=planner.reclaim_s, stop_s=planner.stop_s
             ),
-            off_rack_slowdown=planner.off_rack_slowdown,
             late_ratio=planner.late_loss_ratio,
-            loss_price=planner.loss_price,
             start=self._start,
-            waits={c.unit: c for c in snapshot.claims if c.is_wait},
-        )
-        self._rejections = RejectionCache()
-        self._unfit_workers = frozenset(
-            c.worker
-            for c in snapshot.candidates
-            if _packing.is_unfit_for_urgent_work(c)
+            waits={c.unit: c for c in self.snapshot.claims if c.is_wait},
         )
 
     def build(self) -> Plan:
@@ -230,7 +239,7 @@
             return demand
         ready = claimed.startable_assignments()
         if demand.is_gang and len(ready) < len(claimed.assignments):
-            if self._start_gang(demand, self._groups(demand), claim.choice):
+            if self._start_elsewhere(demand, claim):
                 return dataclasses.replace(demand, indexes=())
             ready = []
         if ready:
@@ -245,12 +254,36 @@
         )
         return dataclasses.replace(demand, indexes=remaining_indexes)
 
+    def _start_elsewhere(self, demand: Demand, claim: Claim) -> bool:
+        """Starts a gang without its claim, if it ends no later than with it."""
+        chosen = _gang_packing.pack_on_fastest(
+            demand, self._groups(demand), self.tracker
+        )
+        if chosen is None:
+            return False
+        pending_s = claim.ordered_at_s + self.planner.stop_s
+        delay_s = max(0.0, pending_s - self.snapshot.now_s)
+        claimed_s = self._run_s(demand, [w for _, w in claim.placement])
+        if self._run_s(demand, chosen) > delay_s + claimed_s:
+            return False
+        self._start(demand, chosen, claim.choice)
+        return True
+
+    def _run_s(self, demand: Demand, workers: list[WorkerId]) -> float:
+        return _rack_choice.run_time_s(
+            demand, [self.tracker.candidates[w] for w in workers]
+        )
+
     def _place_gang(self, demand: Demand) -> bool:
         """Starts a gang or frees capacity for it; returns whether it did."""
         groups = self._groups(demand)
         has_rack = demand.same_rack or bool(demand.data_rack)
         if has_rack and _preemptor.may_preempt(demand):
-            near = [g for g in groups if g and _is_near_data(g[0], demand)]
+            near = [
+                g
+                for g in groups
+                if g and _rack_groups.is_near_data(g[0], demand)
+            ]
             return self._gang_placer.place(
                 demand, near or groups, self._pool(demand)
             )
@@ -267,11 +300,12 @@
         )
 
     def _pool(self, demand: Demand) -> list[Candidate]:
-        return [
-            c
-            for group in self.tracker.candidates_by_rack(demand).values()
-            for c in group
-        ]
+        return _rack_groups.pool_of(demand, self.tracker)
+
+    def _groups(self, demand: Demand) -> list[list[Candidate]]:
+        return _rack_groups.groups_of(
+            demand, self.tracker, may_wait=not self._cannot_wait(demand)
+        )
 
     def _place_tasks(self, demand: Demand) -> bool:
         """Starts the tasks that fit.
@@ -315,27 +349,6 @@
         remaining = dataclasses.replace(demand, indexes=demand.indexes[-count:])
         return self._preemptor.preempt_cheapest(remaining, pool)
 
-    def _groups(self, demand: Demand) -> list[list[Candidate]]:
-        """Returns the groups of workers to try, best first."""
-        if not demand.same_rack:
-            return [[c for c in self._pool(demand) if _is_near_data(c, demand)]]
-        groups = list(self.tracker.candidates_by_rack(demand).values())
-        groups.sort(key=lambda g: self._group_key(demand, g))
-        if demand.data_rack and not self._cannot_wait(demand):
-            groups = [
-                g for g in groups if _is_near_data(g[0], demand)
-            ] or groups
-        return groups
-
-    def _group_key(
-        self, demand: Demand, group: list[Candidate]
-    ) -> tuple[bool, int, int]:
-        free = sum(
-            max(0, self.tracker.free[c.worker].accelerators) for c in group
-        )
-        suspects = sum(c.suspicion > 0 for c in group)
-        return (not _is_near_data(group[0], demand), free, suspects)
-
     def _start_gang(
         self,
         demand: Demand,
@@ -376,24 +389,6 @@
             )
         )
 
-    def _pack(
-        self,
-        demand: Demand,
-        group: Sequence[Candidate],
-        slots: _packing.Slots,
-    ) -> list[WorkerId] | None:
-        if demand.is_gang:
-            return _gang_packing.pack_by_speed(
-                demand, group, slots, self.tracker
-            )
-        return _packing.pack(
-            demand,
-            group,
-            tracker=self.tracker,
-            slots=slots,
-            count=len(demand.indexes),
-        )
-
     def _allocate_releasing(
         self, demand: Demand, group: list[Candidate]
     ) -> bool:
@@ -404,8 +399,11 @@
         """
         if not any(c.worker in self.tracker.releasing for c in group):
             return False
-        chosen = self._pack(
-            demand, group, self.tracker.slots_with_releasing(demand)
+        chosen = _gang_packing.pack_by_speed(
+            demand,
+            group,
+            self.tracker.slots_with_releasing(demand),
+            self.tracker,
         )
         if chosen is None:
             return False
@@ -447,7 +445,3 @@
     if not (demand.same_rack or demand.data_rack):
         return demand
     return dataclasses.replace(demand, same_rack=False, data_rack="")
-
-
-def _is_near_data(candidate: Candidate, demand: Demand) -> bool:
-    return not demand.data_rack or demand.data_rack in candidate.labels
--- a/magnoliaglade/placement/_preemptor.py
+++ b/magnoliaglade/placement/_preemptor.py
@@ -5,9 +5,14 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
-from magnoliaglade.placement import _order, _packing, _preemption
+from magnoliaglade.placement import (
+    _gang_packing,
+    _order,
+    _packing,
+    _preemption,
+)
 from magnoliaglade.placement._capacity_tracker import CapacityTracker
 from magnoliaglade.placement._model import (
     Candidate,
@@ -24,10 +29,6 @@
 # choose the cheapest. Groups that need the least preemption are searched first.
 MAX_GROUPS_COMPARED = 3
 
-Pack = Callable[
-    [Demand, Sequence[Candidate], _packing.Slots], list[WorkerId] | None
-]
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PreemptionOption:
@@ -50,7 +51,6 @@
     Attributes:
         snapshot: input of the plan.
         tracker: capacity during the plan.
-        pack: chooses workers for a demand.
         max_loss_ratio: limit on the work thrown away for a demand on time, as a
             ratio to the work that it will do.
         late_loss_ratio: limit for a late demand, as a ratio to that limit.
@@ -66,14 +66,12 @@
         *,
         snapshot: Snapshot,
         tracker: CapacityTracker,
-        pack: Pack,
         max_loss_ratio: float,
         late_loss_ratio: float,
         max_searches: int,
     ) -> None:
         self.snapshot = snapshot
         self.tracker = tracker
-        self.pack = pack
         self.max_loss_ratio = max_loss_ratio
         self.late_loss_ratio = late_loss_ratio
         self.max_searches = max_searches
@@ -151,9 +149,7 @@
         for victim in option.victims:
             for worker, resources in victim.freed.items():
                 self.tracker.add_releasing(worker, resources)
-        placed = self.pack(
-            demand, option.group, self.tracker.slots_with_releasing(demand)
-        )
+        placed = self._pack(demand, option.group)
         if placed is None:
             return
         self.tracker.allocate(demand, placed)
@@ -175,6 +171,22 @@
             total += releasing.accelerators if releasing else 0
         return total
 
+    def _pack(
+        self, demand: Demand, group: Sequence[Candidate]
+    ) -> list[WorkerId] | None:
+        slots = self.tracker.slots_with_releasing(demand)
+        if demand.is_gang:
+            return _gang_packing.pack_by_speed(
+                demand, group, slots, self.tracker
+            )
+        return _packing.pack(
+            demand,
+            group,
+            tracker=self.tracker,
+            slots=slots,
+            count=len(demand.indexes),
+        )
+
     def _search(
         self, demand: Demand, group: list[Candidate], count: int
     ) -> list[_preemption.Victim] | None:
--- a/magnoliaglade/placement/tests/test_cost.py
+++ b/magnoliaglade/placement/tests/test_cost.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 
 from magnoliaglade import placement
@@ -79,3 +81,39 @@
         assert len({p.beneficiary for p in plan.preemptions}) == 2
         _, plan = count_queries(*full_pool(2), urgent, max_searches=3)
         assert plan.is_complete
+
+    @pytest.mark.parametrize("speeds", [(1.0,), (0.7, 1.7)])
+    def test_cost_of_gangs_with_a_rack_is_linear_in_the_pool(
+        self, count_queries, speeds
+    ):
+        """Guards against plans that weigh every rack for every gang again.
+
+        Racks have room within the longest wait, so that all options count.
+        """
+
+        def count(racks):
+            candidates, allocations = full_pool(racks)
+            candidates = [
+                dataclasses.replace(c, speed=speeds[i % len(speeds)])
+                for i, c in enumerate(candidates)
+            ]
+            allocations = [
+                dataclasses.replace(a, ends_at_s=builders.NOW_S + 0.2 * n)
+                for n, a in enumerate(allocations)
+            ]
+            urgent = [
+                builders.demand(
+                    f"u{n}",
+                    3,
+                    8,
+                    priority=0,
+                    same_rack=True,
+                    is_guaranteed=n % 2 == 0,
+                    latest_start_s=builders.NOW_S + 1.0,
+                )
+                for n in range(40)
+            ]
+            return count_queries(candidates, allocations, urgent)[0]
+
+        # Four times the workers may take four times the queries.
+        assert count(32) <= 4 * count(8)
