Start a gang on slower workers only while its stops are not overdue

A gang whose victims were stopping on fast workers started at once on slow ones that became free, so the victims were stopped in vain. Overdue stops are not waited for.

--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -50,6 +50,9 @@
 # of a stop, if none are stated: the strictest of the deployments. In seconds.
 RECLAIM_S = 2.7
 STOP_S = 0.4
+# Time in addition to that of a stop after which its end is overdue: the order,
+# the report of the end and the next plan. In seconds.
+STOP_MARGIN_S = 0.2
 
 
 class Planner(base.Parameterized):
@@ -255,16 +258,19 @@
         return dataclasses.replace(demand, indexes=remaining_indexes)
 
     def _start_elsewhere(self, demand: Demand, claim: Claim) -> bool:
-        """Starts a gang without its claim, if it ends no later than with it."""
-        chosen = _gang_packing.pack_on_fastest(
-            demand, self._groups(demand), self.tracker
-        )
+        """Starts a gang without its claim, unless it ends later than with it.
+
+        Stops that are overdue are not waited for.
+        """
+        groups = _rack_groups.near_data(demand, self._groups(demand))
+        chosen = _gang_packing.pack_on_fastest(demand, groups, self.tracker)
         if chosen is None:
             return False
-        pending_s = claim.ordered_at_s + self.planner.stop_s
-        delay_s = max(0.0, pending_s - self.snapshot.now_s)
+        overdue_at_s = claim.ordered_at_s + self.planner.stop_s + STOP_MARGIN_S
+        stops_in_s = overdue_at_s - self.snapshot.now_s
         claimed_s = self._run_s(demand, [w for _, w in claim.placement])
-        if self._run_s(demand, chosen) > delay_s + claimed_s:
+        ends_later = self._run_s(demand, chosen) > stops_in_s + claimed_s
+        if stops_in_s > 0.0 and ends_later:
             return False
         self._start(demand, chosen, claim.choice)
         return True
@@ -279,13 +285,10 @@
         groups = self._groups(demand)
         has_rack = demand.same_rack or bool(demand.data_rack)
         if has_rack and _preemptor.may_preempt(demand):
-            near = [
-                g
-                for g in groups
-                if g and _rack_groups.is_near_data(g[0], demand)
-            ]
             return self._gang_placer.place(
-                demand, near or groups, self._pool(demand)
+                demand,
+                _rack_groups.near_data(demand, groups),
+                self._pool(demand),
             )
         if self._start_gang(demand, groups):
             return True
--- a/magnoliaglade/placement/tests/test_rack_choice.py
+++ b/magnoliaglade/placement/tests/test_rack_choice.py
@@ -339,6 +339,31 @@
         assert {w for _, w in claim.placement} == {"w10", "w11"}
 
 
+class TestPendingStops:
+    """Fast workers are claimed, and slow ones become free meanwhile."""
+
+    @pytest.mark.parametrize(
+        ("ordered_s_ago", "is_started"), [(0.2, False), (0.7, True)]
+    )
+    def test_slow_workers_are_used_once_stops_are_overdue(
+        self, ordered_s_ago, is_started
+    ):
+        """Guards against victims that are stopped in vain, and long waits."""
+        demand = urgent(is_guaranteed=True)
+        claim = placement.Claim(
+            unit=demand.unit,
+            placement=((0, "w10"), (1, "w11")),
+            ordered_at_s=NOW_S - ordered_s_ago,
+        )
+        found = plan(
+            builders.racks(2, size=2, speeds=((0.7, 0.7), (1.7, 1.7))),
+            claims=(claim,),
+            allocations=busy(1, ends_in_s=5.0, is_stopping=True),
+            demands=[demand],
+        )
+        assert bool(found.starts) == is_started
+
+
 class TestBatchWork:
     def test_batch_work_goes_to_the_fullest_rack(self):
         """Guards against a few tasks on each rack, so that none is ever free.
