--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -1,13 +1,14 @@
 """Builds the input of placement from the current state."""
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from magnoliaglade import observability, supervision
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.jobs import (
     AttemptState,
+    Job,
     JobProgress,
     StepKey,
     StepSpec,
@@ -23,7 +24,12 @@
     SpeedEstimator,
     TrustEstimator,
     UnitId,
+    WorkEstimator,
+    WorkObservation,
     excluded_workers,
+    job_core_s,
+    job_value,
+    step_core_s,
 )
 from magnoliaglade.routing import Configuration
 from magnoliaglade.types import AccountId, JobId, ServiceName, ZoneId
@@ -44,11 +50,13 @@
         progress: the job.
         run_times_s: expected run time of a task of each step, in seconds.
         is_protected: the job is within its account's guarantee.
+        work_ratio: work of the job, as a ratio to the mean of its queue.
     """
 
     progress: JobProgress
     run_times_s: list[float]
     is_protected: bool
+    work_ratio: float
 
 
 class SnapshotBuilder:
@@ -82,6 +90,7 @@
         self.restore_s = restore_s
         self.configuration = configuration
         self.removed_zones = removed_zones
+        self.work = WorkEstimator()
         self._excluded_until_s: dict[JobId, float] = {}
 
     def build(
@@ -108,10 +117,13 @@
         allocations: list[Allocation] = []
         demands: list[Demand] = []
         for progress in self.table.active_jobs():
+            job = progress.job
+            run_times_s = self.run_times.step_run_times_s(job)
             plannable = _PlannableJob(
                 progress=progress,
-                run_times_s=self.run_times.step_run_times_s(progress.job),
-                is_protected=progress.job.job in protected,
+                run_times_s=run_times_s,
+                is_protected=job.job in protected,
+                work_ratio=self._work_ratio(job, run_times_s),
             )
             allocations.extend(self._iter_allocations(plannable, wall_s))
             if not progress.state.is_final:
@@ -129,6 +141,13 @@
             lost_core_s=lost_core_s,
         )
 
+    def _work_ratio(self, job: Job, run_times_s: Sequence[float]) -> float:
+        """Returns the work of a job as a ratio to the mean of its queue."""
+        core_s = job_core_s(job, run_times_s)
+        observation = WorkObservation(job.queue, job.job, core_s)
+        self.work.partial_fit([observation])
+        return self.work.work_ratio(job.queue, core_s)
+
     def _make_candidate(self, link: WorkerLink, now_s: float) -> Candidate:
         listed = link.listed
         suspicion = self.trust.suspicion(listed.worker, now_s)
@@ -151,6 +170,7 @@
         self, plannable: _PlannableJob, wall_s: float
     ) -> Iterable[Allocation]:
         progress = plannable.progress
+        chain_lengths_s = progress.job.chain_lengths_s(plannable.run_times_s)
         for key, attempt in progress.attempts():
             spec = progress.job.spec.steps[key.step]
             run_time_s = plannable.run_times_s[key.step]
@@ -177,6 +197,10 @@
                 is_gang=spec.is_gang,
                 loss_s=self._loss_s(spec, elapsed_s),
                 ends_at_s=wall_s + remaining_s,
+                latest_end_s=_latest_end_s(
+                    progress.job, key, plannable.run_times_s, chain_lengths_s
+                ),
+                estimate_s=run_time_s,
             )
 
     def _loss_s(self, spec: StepSpec, elapsed_s: float) -> float:
@@ -264,6 +288,8 @@
             estimate_s=plannable.run_times_s[key.step],
             latest_start_s=objective_at_s - remaining_s,
             latest_useful_start_s=latest_end_s - remaining_s,
+            value=job_value(plannable.work_ratio)
+            * _work_share(job, key.step, plannable.run_times_s),
         )
 
     def _exclude_workers(
@@ -332,6 +358,27 @@
     return waiting
 
 
+def _latest_end_s(
+    job: Job,
+    key: TaskKey,
+    run_times_s: Sequence[float],
+    chain_lengths_s: Sequence[float],
+) -> float:
+    """Returns the latest end of a task with which its job is on time."""
+    if job.spec.steps[key.step].is_long_running:
+        return float("inf")
+    following_s = chain_lengths_s[key.step] - run_times_s[key.step]
+    return job.objective_at_s(key.occurrence, chain_lengths_s) - following_s
+
+
+def _work_share(job: Job, step: int, run_times_s: Sequence[float]) -> float:
+    """Returns the part of the work of an occurrence that a step does."""
+    total = job_core_s(job, run_times_s)
+    if not total:
+        return 1.0
+    return step_core_s(job.spec.steps[step], run_times_s[step]) / total
+
+
 def _remaining_s(run_time_s: float, elapsed_s: float, percent: float) -> float:
     if percent > 5.0 and elapsed_s > 0.0:
         return elapsed_s * (100.0 - percent) / percent
--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -12,11 +12,7 @@
     Start,
     UnitId,
 )
-from magnoliaglade.placement._order import (
-    Timeliness,
-    order_demands,
-    timeliness_of,
-)
+from magnoliaglade.placement._order import order_demands
 from magnoliaglade.placement._planner import Planner
 from magnoliaglade.placement._preemption import core_seconds
 from magnoliaglade.placement._run_times import (
@@ -24,11 +20,19 @@
     RunTimeObservation,
 )
 from magnoliaglade.placement._speeds import SpeedEstimator, SpeedObservation
+from magnoliaglade.placement._timeliness import Timeliness, timeliness_of
 from magnoliaglade.placement._trust import (
     Evidence,
     Observation,
     TrustEstimator,
 )
+from magnoliaglade.placement._work import (
+    WorkEstimator,
+    WorkObservation,
+    job_core_s,
+    job_value,
+    step_core_s,
+)
 
 __all__ = [
     "Allocation",
@@ -49,8 +53,13 @@
     "Timeliness",
     "TrustEstimator",
     "UnitId",
+    "WorkEstimator",
+    "WorkObservation",
     "core_seconds",
     "excluded_workers",
+    "job_core_s",
+    "job_value",
     "order_demands",
+    "step_core_s",
     "timeliness_of",
 ]
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -75,6 +75,9 @@
             unit.
         loss_s: work, as run time in seconds, that a stop now would throw away.
         ends_at_s: expected time of the end; infinity for a run that lasts.
+        latest_end_s: latest end with which the job still meets its objective;
+            infinity if there is none.
+        estimate_s: expected run time of the task as a whole.
     """
 
     unit: UnitId
@@ -88,6 +91,8 @@
     is_gang: bool
     loss_s: float
     ends_at_s: float
+    latest_end_s: float = float("inf")
+    estimate_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -115,6 +120,8 @@
         latest_start_s: latest start that still meets the objective.
         latest_useful_start_s: latest start at which the result is still worth
             something.
+        value: value of the tasks if they are on time, relative to an average
+            job of the queue.
     """
 
     unit: UnitId
@@ -134,6 +141,7 @@
     estimate_s: float
     latest_start_s: float
     latest_useful_start_s: float
+    value: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -219,6 +227,8 @@
             core-seconds.
         is_complete: every demand was considered in full; otherwise another
             plan should be made soon.
+        deferred: units that could be on time alone, but not together with
+            others of their priority that are worth more.
     """
 
     starts: tuple[Start, ...] = ()
@@ -228,3 +238,4 @@
         default_factory=dict
     )
     is_complete: bool = True
+    deferred: frozenset[UnitId] = frozenset()
--- a/magnoliaglade/placement/_order.py
+++ b/magnoliaglade/placement/_order.py
@@ -3,47 +3,47 @@
 Handles the load pattern in which urgent bursts, large gangs and a reduced pool
 coincide. Guaranteed work comes first, then work is ordered by priority. Within
 a priority, work that can still meet its objective precedes work that cannot.
+Where capacity is insufficient, see `_overload`.
 """
 
-import enum
+from magnoliaglade.placement import _overload
+from magnoliaglade.placement._model import Demand, Snapshot, UnitId
+from magnoliaglade.placement._overload import Rank
+from magnoliaglade.placement._timeliness import Timeliness, timeliness_of
 
-from magnoliaglade.placement._model import Demand
+# Added to the priority of work whose result is worth nothing any more, which
+# places it behind the work of all priorities.
+_TOO_LATE_OFFSET = 1_000
 
 
-class Timeliness(enum.IntEnum):
-    """How useful a start still is to a demand; lower values are placed first.
+def order_demands(
+    snapshot: Snapshot,
+) -> tuple[list[Demand], frozenset[UnitId]]:
+    """Returns the demands in the order in which they are placed.
 
-    Attributes:
-        ON_TIME: the objective can be met.
-        LATE: the objective is missed, but the result is worth something.
-        TOO_LATE: the result is worth nothing.
+    Returns:
+        The ordered demands, and the units that are deferred, see
+        `Plan.deferred`.
     """
-
-    ON_TIME = 0
-    LATE = 1
-    TOO_LATE = 2
-
-
-def timeliness_of(demand: Demand, *, now_s: float) -> Timeliness:
-    """Returns the timeliness of a demand that starts at `now_s`."""
-    if now_s <= demand.latest_start_s:
-        return Timeliness.ON_TIME
-    if now_s <= demand.latest_useful_start_s:
-        return Timeliness.LATE
-    return Timeliness.TOO_LATE
-
-
-def order_demands(demands: tuple[Demand, ...], *, now_s: float) -> list[Demand]:
-    """Returns the demands in the order in which they are placed."""
-
-    def key(demand: Demand) -> tuple[bool, int, int, float, float]:
-        timeliness = timeliness_of(demand, now_s=now_s)
+    ranks = _overload.rank_demands(snapshot)
+
+    def key(
+        demand: Demand,
+    ) -> tuple[bool, bool, int, Rank, bool, int, float, float]:
+        rank, is_over_share = ranks.of(demand)
+        timeliness = timeliness_of(demand, now_s=snapshot.now_s)
+        is_behind = (
+            timeliness is Timeliness.TOO_LATE and rank is not Rank.OVERDUE
+        )
         return (
+            rank is Rank.UNSERVABLE,
             not demand.is_guaranteed,
-            demand.priority + (timeliness is Timeliness.TOO_LATE) * 1_000,
+            demand.priority + is_behind * _TOO_LATE_OFFSET,
+            rank,
+            is_over_share,
             timeliness,
             demand.latest_start_s,
             demand.arrived_at_s,
         )
 
-    return sorted(demands, key=key)
+    return sorted(snapshot.demands, key=key), ranks.deferred
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -131,9 +131,7 @@
         )
 
     def build(self) -> Plan:
-        ordered = _order.order_demands(
-            self.snapshot.demands, now_s=self.snapshot.now_s
-        )
+        ordered, deferred = _order.order_demands(self.snapshot)
         claims = _claims.valid_claims(
             self.snapshot.claims, now_s=self.snapshot.now_s
         )
@@ -149,6 +147,7 @@
             claims=tuple(self.claims),
             lost_core_s=self.lost_core_s,
             is_complete=self.searches <= self.planner.max_searches,
+            deferred=deferred,
         )
 
     def _place(self, demand: Demand) -> None:
--- a/magnoliaglade/placement/_preemption.py
+++ b/magnoliaglade/placement/_preemption.py
@@ -1,10 +1,11 @@
 """Selects the running work to preempt for a demand.
 
-Handles a burst of urgent jobs on a full pool. Work that loses the least is
-preempted first; a gang is preempted as a whole, since its members cannot run
-without each other. The search evaluates each worker once, and again only after
-a change on it, so that its cost is linear in the number of workers and not
-quadratic.
+Handles a burst of urgent jobs on a full pool. Work whose preemption costs the
+callers the least is preempted first: by its priority, the work thrown away, and
+whether it then misses an objective that it would have met. A gang is preempted
+as a whole, since its members cannot run without each other. The search
+evaluates each worker once, and again only after a change on it, so that its
+cost is linear in the number of workers and not quadratic.
 """
 
 import dataclasses
@@ -19,6 +20,12 @@
 # of the platform's prices.
 CORES_PER_ACCELERATOR = 8
 
+# Part of the value of a result that is lost if it misses its objective.
+MISSED_OBJECTIVE_LOSS = 0.7
+# Time in seconds after which preempted work is expected to run again, besides
+# what it has to repeat; the time of a stop, of a start, and of a short wait.
+RESTART_DELAY_S = 1.0
+
 VictimId = tuple[UnitId, int | None]
 
 
@@ -38,6 +45,8 @@
         index: index of the task; None for a whole gang.
         priority: priority of the job.
         loss_core_s: work thrown away, in core-seconds.
+        cost_core_s: the same, plus the worth of an objective that will be
+            missed, as the core-seconds of work that are worth as much.
         freed: capacity that becomes free, by worker.
     """
 
@@ -45,6 +54,7 @@
     index: int | None
     priority: int
     loss_core_s: float
+    cost_core_s: float
     freed: Mapping[WorkerId, Resources]
 
     @property
@@ -53,13 +63,13 @@
         return self.unit, self.index
 
     @property
-    def loss_per_accelerator(self) -> float:
-        """Core-seconds lost per freed accelerator.
+    def cost_per_accelerator(self) -> float:
+        """Cost in core-seconds per freed accelerator.
 
         A worker on which no accelerator becomes free counts as one.
         """
         freed = sum(max(1, r.accelerators) for r in self.freed.values())
-        return self.loss_core_s / freed
+        return self.cost_core_s / freed
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,7 +77,7 @@
     """Work on one worker that may be preempted.
 
     Attributes:
-        victims: least important first, then the lowest loss per accelerator.
+        victims: least important first, then the lowest cost per accelerator.
         total: capacity of all victims on the worker.
     """
 
@@ -89,7 +99,7 @@
         ] = {}
         victims = sorted(
             _group_victims(allocations),
-            key=lambda v: (-v.priority, v.loss_per_accelerator),
+            key=lambda v: (-v.priority, v.cost_per_accelerator),
         )
         for victim in victims:
             for worker in victim.freed:
@@ -130,7 +140,7 @@
 
     Attributes:
         victims: runs and gangs to stop.
-        rank: sort key: less important victims first, then the lower loss per
+        rank: sort key: less important victims first, then the lower cost per
             additional task.
     """
 
@@ -220,17 +230,17 @@
                 break
         if slots == current_slots:
             return None
-        for victim in sorted(picked[:-1], key=lambda v: -v.loss_core_s):
+        for victim in sorted(picked[:-1], key=lambda v: -v.cost_core_s):
             rest = freed - victim.freed[worker]
             if self._slots_with(worker, rest) == slots:
                 freed = rest
                 picked.remove(victim)
         priority = min(v.priority for v in picked)
-        loss_per_task = sum(v.loss_core_s for v in picked) / (
+        cost_per_task = sum(v.cost_core_s for v in picked) / (
             slots - current_slots
         )
         return _WorkerOption(
-            victims=tuple(picked), rank=(-priority, loss_per_task, worker)
+            victims=tuple(picked), rank=(-priority, cost_per_task, worker)
         )
 
     def _add(self, victim: Victim) -> None:
@@ -254,7 +264,7 @@
 
     def _drop_unneeded(self, count: int) -> None:
         for victim in sorted(
-            self._chosen.values(), key=lambda v: -v.loss_core_s
+            self._chosen.values(), key=lambda v: -v.cost_core_s
         ):
             self._drop(victim)
             if self._total < count:
@@ -285,10 +295,23 @@
         freed[allocation.worker] = (
             before + allocation.demand if before else allocation.demand
         )
+    loss_core_s = sum(core_seconds(a.demand, a.loss_s) for a in allocations)
+    cost_core_s = loss_core_s
+    if any(_will_miss_objective(a) for a in allocations):
+        cost_core_s += MISSED_OBJECTIVE_LOSS * sum(
+            core_seconds(a.demand, a.estimate_s) for a in allocations
+        )
     return Victim(
         unit=allocations[0].unit,
         index=index,
         priority=allocations[0].priority,
-        loss_core_s=sum(core_seconds(a.demand, a.loss_s) for a in allocations),
+        loss_core_s=loss_core_s,
+        cost_core_s=cost_core_s,
         freed=freed,
     )
+
+
+def _will_miss_objective(allocation: Allocation) -> bool:
+    """Returns whether a run misses its objective only if it is preempted."""
+    ends_again_s = allocation.ends_at_s + allocation.loss_s + RESTART_DELAY_S
+    return allocation.ends_at_s <= allocation.latest_end_s < ends_again_s
--- a/magnoliaglade/standins/pool.py
+++ b/magnoliaglade/standins/pool.py
@@ -364,6 +364,7 @@
             estimate_s=run_time_s,
             latest_start_s=due_at_s - run_time_s,
             latest_useful_start_s=late_at_s - run_time_s,
+            value=job.worth,
         )
 
     def _use(self, run: _Run, protected: set[str]) -> Allocation:
@@ -381,6 +382,8 @@
             is_gang=run.job.is_gang,
             loss_s=min(elapsed_s, ORDER_S) if is_saving else elapsed_s,
             ends_at_s=run.began_at_s + run.job.estimate_s,
+            latest_end_s=run.job.arrives_at_s + run.job.objective_s,
+            estimate_s=run.job.estimate_s,
         )
 
 
