Order demands by value where capacity is insufficient

Under a burst that exceeds the room the order by latest start spent the room on whatever was due first. Where all demands fit, the order is unchanged.

--- a/magnoliaglade/placement/_order.py
+++ b/magnoliaglade/placement/_order.py
@@ -29,8 +29,8 @@
 
     def key(
         demand: Demand,
-    ) -> tuple[bool, bool, int, Rank, bool, int, float, float]:
-        rank, is_over_share = ranks.of(demand)
+    ) -> tuple[bool, bool, int, Rank, bool, float, int, float, float]:
+        rank, is_over_share, value = ranks.of(demand)
         timeliness = timeliness_of(demand, now_s=snapshot.now_s)
         is_behind = (
             timeliness is Timeliness.TOO_LATE and rank is not Rank.OVERDUE
@@ -41,6 +41,7 @@
             demand.priority + is_behind * _TOO_LATE_OFFSET,
             rank,
             is_over_share,
+            value,
             timeliness,
             demand.latest_start_s,
             demand.arrived_at_s,
--- a/magnoliaglade/placement/_overload.py
+++ b/magnoliaglade/placement/_overload.py
@@ -37,8 +37,8 @@
 # Time in seconds for which the same overdue demand is the one in turn; longer
 # than most runs, so that a gang can wait for the ends that it needs.
 OVERDUE_TURN_S = 15.0
-# Multiple of its equal share of a pool above which an account is over its
-# share; below it, uneven use is ordinary.
+# Multiple of its equal share of a pool from which on an account that uses or
+# asks for more is held to its share; below it, uneven use is ordinary.
 MAX_SHARE_RATIO = 2.0
 # Factor on the value of demands of an account that is over its share. They
 # still precede demands of less than half their value per accelerator-second.
@@ -77,16 +77,22 @@
             not CHOSEN.
         deferred: units that could be on time alone, but not together with
             those that are CHOSEN.
+        density: value per unit of work of the CHOSEN demands of a priority of
+            which others are deferred. They are placed by it: whether they fit
+            on single workers is not known, so that some may still miss their
+            latest starts, which should be those worth least.
     """
 
     by_unit: dict[UnitId, Rank] = dataclasses.field(default_factory=dict)
     over_share: frozenset[UnitId] = frozenset()
     deferred: frozenset[UnitId] = frozenset()
+    density: dict[UnitId, float] = dataclasses.field(default_factory=dict)
 
-    def of(self, demand: Demand) -> tuple[Rank, bool]:
-        """Returns the rank, and whether others of the rank go before."""
-        rank = self.by_unit.get(demand.unit, Rank.CHOSEN)
-        return rank, demand.unit in self.over_share
+    def of(self, demand: Demand) -> tuple[Rank, bool, float]:
+        """Returns a sort key: rank, whether over the share, and value."""
+        unit = demand.unit
+        rank = self.by_unit.get(unit, Rank.CHOSEN)
+        return rank, unit in self.over_share, -self.density.get(unit, 0.0)
 
 
 def rank_demands(snapshot: Snapshot) -> Ranks:
@@ -201,6 +207,15 @@
             now_s=self._now_s,
             latest_start_s=lambda d: d.latest_useful_start_s,
         )
+        if on_time.rejected:
+            deferred = {i.demand.unit for i in on_time.rejected}
+            self._ranks.density.update(
+                {
+                    i.demand.unit: i.density
+                    for i in by_timeliness[Timeliness.ON_TIME]
+                    if i.demand.unit not in deferred
+                }
+            )
         self._ranks.deferred |= {i.demand.unit for i in on_time.rejected}
         rank_by_unit = self._ranks.by_unit
         rank_by_unit.update({i.demand.unit: Rank.USEFUL for i in late})
@@ -247,17 +262,21 @@
     ) -> frozenset[UnitId]:
         """Returns the units with which accounts exceed their share.
 
-        An account's demands count in order of their latest starts, on top of
+        An account that uses and asks for far more than its equal share keeps
+        this share; its demands count in order of their latest starts, on top of
         what it runs at the priority.
         """
         used: dict[AccountId, float] = collections.defaultdict(float)
         used.update(self._pool.shares_in_use(priority))
-        accounts = used.keys() | {i.demand.account for i in items}
-        limit = MAX_SHARE_RATIO / max(1, len(accounts))
+        wanted = used.copy()
+        for item in items:
+            wanted[item.demand.account] += item.share
+        share = 1.0 / max(1, len(wanted))
+        large = {a for a, w in wanted.items() if w > MAX_SHARE_RATIO * share}
         over = set()
         for item in sorted(items, key=lambda i: i.demand.latest_start_s):
             account = item.demand.account
-            if used[account] > limit:
+            if account in large and used[account] >= share:
                 over.add(item.demand.unit)
             used[account] += item.share
         return frozenset(over)
--- a/magnoliaglade/placement/_selection.py
+++ b/magnoliaglade/placement/_selection.py
@@ -1,12 +1,14 @@
 """Selects the demands worth most that can start in time in limited capacity.
 
 A weighted form of the algorithm of Moore and Hodgson for the number of late
-jobs. Demands are taken in order of their latest starts; one that does not find
-room by then displaces demands taken before it that are worth less per unit of
-work, provided that they are worth less in total, or is rejected. The pool is
+jobs. Demands are taken in order of their latest starts. One that does not find
+room by then displaces demands taken before it, or is rejected. Displacing what
+is worth less in total never makes the set worse, but keeps one large demand
+against several small ones; displacing what is worth less per unit of work does
+the opposite. Both are tried, and the better set is returned. The pool is
 treated as one worker, and a demand starts as a whole.
 
-The cost is that of sorting, plus that of following the ends of runs once.
+The cost is that of sorting, plus that of following the ends of runs twice.
 """
 
 import dataclasses
@@ -97,25 +99,31 @@
         self._start(item)
         return True
 
-    def displace(self, item: Item) -> list[Item]:
+    def displace(self, item: Item, *, by_total: bool) -> list[Item]:
         """Starts a demand in place of others that are worth less.
 
+        Args:
+            item: the demand.
+            by_total: whether the others have to be worth less in total;
+                otherwise each has to be worth less per unit of work.
+
         Returns:
             The displaced demands, or the demand itself if there are none.
         """
         chosen: list[_Started] = []
         free = self._free
         value = 0.0
+        limit = _NEVER_S if by_total else item.density
+        is_better = True
         while not _pool_capacity.is_within(item.width, free):
-            started = self._pop_least(item.density)
-            if started is None:
+            started = self._pop_least(limit)
+            if started is not None:
+                chosen.append(started)
+                free = _pool_capacity.add(free, started.item.width)
+                value += started.item.value
+            if started is None or (by_total and value >= item.value):
+                is_better = False
                 break
-            chosen.append(started)
-            free = _pool_capacity.add(free, started.item.width)
-            value += started.item.value
-        is_better = value < item.value and _pool_capacity.is_within(
-            item.width, free
-        )
         for started in chosen:
             if is_better:
                 started.is_active = False
@@ -187,11 +195,27 @@
         now_s: the present.
         latest_start_s: returns the latest start of a demand, in seconds.
     """
+    ordered = sorted(items, key=lambda i: latest_start_s(i.demand))
+    best = _run(room, ordered, now_s, latest_start_s, by_total=True)
+    if not best.rejected:
+        return best
+    other = _run(room, ordered, now_s, latest_start_s, by_total=False)
+    return max(best, other, key=lambda s: -sum(i.value for i in s.rejected))
+
+
+def _run(
+    room: Room,
+    ordered: list[Item],
+    now_s: float,
+    latest_start_s: Callable[[Demand], float],
+    *,
+    by_total: bool,
+) -> Selection:
     simulation = _Simulation(room=room, now_s=now_s)
     rejected: list[Item] = []
-    for item in sorted(items, key=lambda i: latest_start_s(i.demand)):
+    for item in ordered:
         if not simulation.start_by(item, latest_start_s(item.demand)):
-            rejected.extend(simulation.displace(item))
+            rejected.extend(simulation.displace(item, by_total=by_total))
     taken = [
         Taken(s.ends_at_s, s.item.width)
         for s in simulation.started
