Refuse submissions that overload makes worthless

Callers of an overloaded queue waited for results that are worth nothing. The coordinator publishes lower bounds on the waits of overloaded queues beside the counts; a gateway answers 503 with a time to return if a job would miss three times its objective in any case.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -21,6 +21,7 @@
 from magnoliaglade.coordinator._orders import OrderSender
 from magnoliaglade.coordinator._permission import Permission, make_limits
 from magnoliaglade.coordinator._planning import PlanRunner
+from magnoliaglade.coordinator._queue_loads import QueueLoadEstimator
 from magnoliaglade.coordinator._reports import ReportHandler
 from magnoliaglade.coordinator._run_monitor import RunMonitor
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
@@ -95,6 +96,8 @@
             work.
         observe_unexpected: called with the kind of each run or end that a
             worker lists although the run counts as ended.
+        observe_deferred: called with the priority of each demand that is
+            deferred in favour of others.
     """
 
     def __init__(
@@ -114,6 +117,7 @@
         observe_plan: Callable[[float], None] = lambda _: None,
         observe_waste: Callable[[str, float], None] = lambda *_: None,
         observe_unexpected: Callable[[str], None] = lambda _: None,
+        observe_deferred: Callable[[int], None] = lambda _: None,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -129,6 +133,7 @@
         self.observe_plan = observe_plan
         self.observe_waste = observe_waste
         self.observe_unexpected = observe_unexpected
+        self.observe_deferred = observe_deferred
         self._waste = WasteLog(observe_waste=observe_waste)
         self.table = JobTable()
         self.trust = placement.TrustEstimator()
@@ -167,17 +172,18 @@
             on_end=self._end_run,
             observe_unexpected=observe_unexpected,
         )
+        snapshot_builder = SnapshotBuilder(
+            table=self.table,
+            trust=self.trust,
+            run_times=self.run_times,
+            speeds=self.speeds,
+            restore_s=timings.restore_s,
+            configuration=configuration,
+            removed_zones=removed_zones,
+        )
         self._plan_runner = PlanRunner(
             planner=planner,
-            snapshot_builder=SnapshotBuilder(
-                table=self.table,
-                trust=self.trust,
-                run_times=self.run_times,
-                speeds=self.speeds,
-                restore_s=timings.restore_s,
-                configuration=configuration,
-                removed_zones=removed_zones,
-            ),
+            snapshot_builder=snapshot_builder,
             table=self.table,
             links=self.links,
             journal=self.journal,
@@ -196,6 +202,7 @@
             observe_plan=observe_plan,
             on_planned=self._store_progress,
             on_lost=self._end_lost_run,
+            observe_deferred=observe_deferred,
         )
         self._worker_registry = WorkerRegistry(
             links=self.links,
@@ -217,6 +224,12 @@
             journal=self.journal,
             permission=self.permission,
             status_s=timings.status_s,
+            estimate_loads=QueueLoadEstimator(
+                table=self.table,
+                snapshot_builder=snapshot_builder,
+                configuration=configuration,
+                snapshot=lambda: self._plan_runner.snapshot,
+            ).estimate,
         )
         self._replaced = asyncio.Event()
         self._is_loaded = False
--- a/magnoliaglade/coordinator/_housekeeping.py
+++ b/magnoliaglade/coordinator/_housekeeping.py
@@ -1,9 +1,9 @@
 """Publishes counts of waiting jobs and removes records of ended jobs."""
 
-import msgpack
+from collections.abc import Callable, Mapping
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import observability, store
+from magnoliaglade import observability, placement, store
 from magnoliaglade.coordinator._journal import (
     MAX_TRANSACTION_ENTRIES,
     Journal,
@@ -11,7 +11,7 @@
 from magnoliaglade.coordinator._permission import Permission
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.jobs import keys
-from magnoliaglade.types import JobId
+from magnoliaglade.types import JobId, QueueName
 
 # Interval between publications of the counts of waiting jobs, in seconds.
 COUNTS_INTERVAL_S = 0.8
@@ -36,6 +36,7 @@
         permission: decides whether records may be removed.
         status_s: shortest time for which the state of an ended job remains
             available, in seconds.
+        estimate_loads: returns the loads of the queues that are overloaded.
         ended_at_s: time on the clock at which the end of each job was recorded.
     """
 
@@ -48,6 +49,9 @@
         journal: Journal,
         permission: Permission,
         status_s: float,
+        estimate_loads: Callable[
+            [], Mapping[QueueName, placement.QueueLoad]
+        ] = dict,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -55,8 +59,10 @@
         self.journal = journal
         self.permission = permission
         self.status_s = status_s
+        self.estimate_loads = estimate_loads
         self.ended_at_s: dict[JobId, float] = {}
-        self._published: dict[str, int] | None = None
+        self._published: bytes | None = None
+        self._overloaded: frozenset[QueueName] = frozenset()
         self._withdrawals_seen_at_s: dict[tuple[str, int], float] = {}
 
     @property
@@ -68,20 +74,32 @@
         self.ended_at_s.setdefault(job, self.clock.now())
 
     async def publish_counts(self) -> None:
-        """Publishes how many jobs of each queue have started no task."""
+        """Publishes how many jobs of each queue have started no task.
+
+        While a queue is overloaded, its load is added, and the record is
+        renewed even if it is the same: readers ignore loads that are old.
+        """
         while True:
-            counts: dict[str, int] = {}
+            counts: dict[QueueName, int] = {}
             for progress in self.table.active_jobs():
                 is_waiting = not progress.has_started
                 if is_waiting and not progress.state.is_final:
                     queue = progress.job.queue
                     counts[queue] = counts.get(queue, 0) + 1
-            if counts != self._published:
-                self._published = counts
-                packed = msgpack.packb(counts)
+            loads = self.estimate_loads()
+            self._log_overload(frozenset(loads))
+            packed = placement.encode_counts(counts, loads)
+            if loads or packed != self._published:
+                self._published = packed
                 self.journal.write(keys.COUNTS_KEY, lambda p=packed: p)
             await self.clock.sleep(COUNTS_INTERVAL_S)
 
+    def _log_overload(self, queues: frozenset[QueueName]) -> None:
+        """Logs which queues are overloaded, when this changes."""
+        if queues != self._overloaded:
+            self._overloaded = queues
+            observability.log_event("overload", queues=sorted(queues))
+
     async def clean_up(self) -> None:
         """Removes records of jobs that ended long ago."""
         while True:
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -25,6 +25,8 @@
 # submissions that arrive together.
 MIN_PLAN_PAUSE_S = 0.01
 
+# Shortest time between two log lines on deferred demands, in seconds.
+DEFERRAL_LOG_INTERVAL_S = 1.0
 # Duration, in seconds, above which a plan is logged; a plan delays a renewal of
 # the coordinator's lease by as much.
 SLOW_PLAN_S = 0.3
@@ -54,6 +56,10 @@
         observe_plan: called with the duration of each plan, in seconds.
         on_planned: called with a job whose planned runs have to be stored.
         on_lost: called with job, task and run of a start that is not sent.
+        observe_deferred: called with the priority of each demand that is
+            deferred in favour of others.
+        snapshot: snapshot of the last plan; None if none could be made, or
+            nothing was waiting.
         wake: event that is set when something has changed.
     """
 
@@ -72,6 +78,7 @@
         observe_plan: Callable[[float], None],
         on_planned: Callable[[JobProgress], None],
         on_lost: Callable[[JobProgress, TaskKey, int], None],
+        observe_deferred: Callable[[int], None] = lambda _: None,
     ) -> None:
         self.planner = planner
         self.snapshot_builder = snapshot_builder
@@ -85,9 +92,13 @@
         self.observe_plan = observe_plan
         self.on_planned = on_planned
         self.on_lost = on_lost
+        self.observe_deferred = observe_deferred
+        self.snapshot: placement.Snapshot | None = None
         self.wake = asyncio.Event()
         self._claims: tuple[placement.Claim, ...] = ()
         self._lost_core_s: dict[placement.UnitId, float] = {}
+        self._deferred: frozenset[placement.UnitId] = frozenset()
+        self._deferrals_logged_at_s = float("-inf")
         self._start_tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -124,6 +135,7 @@
             )
 
     def _plan(self) -> None:
+        self.snapshot = None
         if not self.permission.may_send_orders():
             return
         self.run_monitor.check()
@@ -138,8 +150,11 @@
             lost_core_s=self._lost_core_s,
         )
         if not snapshot.demands:
+            self._deferred = frozenset()
             return
+        self.snapshot = snapshot
         plan = self.planner.plan(snapshot)
+        self._report_deferred(plan.deferred)
         self._claims = plan.claims
         self._add_lost_work(plan.lost_core_s)
         if not plan.is_complete:
@@ -157,6 +172,20 @@
             self._start_tasks.add(start_task)
             start_task.add_done_callback(self._start_tasks.discard)
 
+    def _report_deferred(self, deferred: frozenset[placement.UnitId]) -> None:
+        """Counts demands when they become deferred; logs how many are."""
+        new = deferred - self._deferred
+        self._deferred = deferred
+        for unit in new:
+            self.observe_deferred(self.table.jobs[unit.job].job.priority)
+        now_s = self.clock.now()
+        since_log_s = now_s - self._deferrals_logged_at_s
+        if new and since_log_s >= DEFERRAL_LOG_INTERVAL_S:
+            self._deferrals_logged_at_s = now_s
+            observability.log_event(
+                "deferral", new=len(new), deferred=len(deferred)
+            )
+
     def _add_lost_work(
         self, lost_core_s: Mapping[placement.UnitId, float]
     ) -> None:
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -15,6 +15,7 @@
     TaskKey,
 )
 from magnoliaglade.placement import (
+    MAX_LATENESS_FACTOR,
     Allocation,
     Candidate,
     Claim,
@@ -34,9 +35,6 @@
 from magnoliaglade.routing import Configuration
 from magnoliaglade.types import AccountId, JobId, ServiceName, ZoneId
 
-# An occurrence still has value if it ends within this multiple of its
-# objective, counted from its arrival.
-MAX_LATENESS_FACTOR = 3.0
 # Time in seconds for which a job is not planned after an unexpected error.
 REPLAN_DELAY_S = 5.0
 _NO_LOST_WORK: Mapping[UnitId, float] = {}
--- a/magnoliaglade/gateway/__init__.py
+++ b/magnoliaglade/gateway/__init__.py
@@ -5,6 +5,7 @@
     CountResult,
     Gateway,
     StateResult,
+    SubmissionResult,
 )
 
 __all__ = [
@@ -12,4 +13,5 @@
     "CountResult",
     "Gateway",
     "StateResult",
+    "SubmissionResult",
 ]
--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -7,13 +7,12 @@
 import asyncio
 import dataclasses
 import enum
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, TypeVar
 
-import msgpack
-
 from magnoliaglade import base, jobs, observability, store
 from magnoliaglade import clock as clock_lib
+from magnoliaglade.gateway._admission import Admission
 from magnoliaglade.jobs import keys
 from magnoliaglade.routing import ConfigurationWatcher, Queue
 from magnoliaglade.types import AccountId, JobId
@@ -40,8 +39,9 @@
 # Interval in seconds between attempts to store which jobs were reported to
 # callers as completed.
 CONFIRMATION_INTERVAL_S = 0.5
-# Time in seconds for which published counts of waiting jobs are cached.
-COUNTS_CACHE_TTL_S = 0.5
+# Value of a withdrawal of a job that was refused, not cancelled: the caller may
+# submit it again.
+REFUSAL_VALUE = b"refused"
 
 
 class CallOutcome(enum.Enum):
@@ -51,7 +51,8 @@
     and nothing will run. UNKNOWN: the store has not replied; the call may have
     taken effect. ABSENT: the account has no job of this id. CONFLICTING:
     another job has the same id. WITHDRAWN: the account has cancelled the job
-    before it was stored; it never runs.
+    before it was stored; it never runs. OVERLOADED: nothing was stored, as the
+    result would come too late to be worth anything.
     """
 
     ACCEPTED = "accepted"
@@ -60,6 +61,21 @@
     ABSENT = "absent"
     CONFLICTING = "conflicting"
     WITHDRAWN = "withdrawn"
+    OVERLOADED = "overloaded"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmissionResult:
+    """Result of a submission.
+
+    Attributes:
+        outcome: what became of it.
+        retry_after_s: whole seconds after which the caller should retry, if
+            the outcome is REFUSED or OVERLOADED.
+    """
+
+    outcome: CallOutcome
+    retry_after_s: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -101,6 +117,9 @@
         query_coordinator: returns the coordinator's summary of a job, or None
             if there is none; used while the store does not reply.
         announce: tells the coordinator about an entry that was just stored.
+        observe_refused: called with the reason of each submission that is
+            refused.
+        admission: decides on submissions to overloaded queues.
     """
 
     _parameter_constraints = {
@@ -116,6 +135,7 @@
         revoke_s: float,
         query_coordinator: QueryCoordinator = _no_coordinator,
         announce: Announce = _announce_to_nobody,
+        observe_refused: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -123,9 +143,14 @@
         self.revoke_s = revoke_s
         self.query_coordinator = query_coordinator
         self.announce = announce
+        self.observe_refused = observe_refused
+        self.admission = Admission(
+            store=store,
+            clock=clock,
+            configuration_watcher=configuration_watcher,
+        )
         self._background: set[asyncio.Task[None]] = set()
         self._unconfirmed_completions: dict[JobId, None] = {}
-        self._cached_counts: tuple[float, dict[str, int]] = (float("-inf"), {})
 
     @property
     def has_fresh_configuration(self) -> bool:
@@ -149,10 +174,11 @@
         account: AccountId,
         spec: jobs.JobSpec,
         timeout_s: float,
-    ) -> CallOutcome:
+    ) -> SubmissionResult:
         """Stores a job; a repeated call for the same id changes nothing.
 
-        A job that its account has cancelled before is not stored.
+        A job that its account has cancelled before is not stored, nor one that
+        would be worth nothing when it ends (OVERLOADED).
 
         Args:
             job: id chosen by the caller.
@@ -174,14 +200,16 @@
             spec=spec,
         )
         deadline_s = self.clock.now() + timeout_s
-        outcome = await self._write_key(
-            keys.job_key(job),
-            jobs.encode_job(record),
-            deadline_s,
-            absent=(keys.job_key(job), keys.withdrawal_key(job, account)),
-        )
-        if outcome is CallOutcome.CONFLICTING:
-            outcome = await self._compare_with_stored(record, deadline_s)
+        retry_after_s = self.admission.retry_after_s(record)
+        if retry_after_s is None:
+            outcome = await self._write_unless_stored(
+                record, keys.job_key(job), jobs.encode_job(record), deadline_s
+            )
+            outcome = outcome or CallOutcome.ACCEPTED
+        else:
+            outcome = await self._refuse(record, deadline_s)
+        if outcome in (CallOutcome.REFUSED, CallOutcome.OVERLOADED):
+            self.observe_refused(outcome.value)
         observability.log_event(
             "submission",
             job=job,
@@ -190,8 +218,12 @@
             account=account,
             tasks=sum(s.count for s in spec.steps),
             configuration_age_s=round(self.configuration_watcher.age_s, 3),
+            **({"retry_after_s": retry_after_s} if retry_after_s else {}),
+        )
+        return SubmissionResult(
+            outcome=outcome,
+            retry_after_s=retry_after_s or self.retry_after_s,
         )
-        return outcome
 
     async def cancel(
         self, *, job: JobId, account: AccountId | None, timeout_s: float
@@ -253,19 +285,22 @@
     ) -> CountResult:
         """Returns how many jobs of a queue have started no task."""
         now_s = self.clock.now()
-        read_at_s, counts = self._cached_counts
-        if now_s - read_at_s > COUNTS_CACHE_TTL_S:
+        if not self.admission.has_recent_counts:
             entry, has_replied = await self._read_entry(
                 keys.COUNTS_KEY, now_s + timeout_s
             )
             if not has_replied:
                 return CountResult(outcome=CallOutcome.REFUSED)
-            counts = msgpack.unpackb(entry.value) if entry else {}
-            self._cached_counts = (now_s, counts)
+            self.admission.record(entry, read_at_s=now_s)
         return CountResult(
-            outcome=CallOutcome.ACCEPTED, waiting=counts.get(queue.name, 0)
+            outcome=CallOutcome.ACCEPTED,
+            waiting=self.admission.counts.get(queue.name, 0),
         )
 
+    async def close(self) -> None:
+        """Cancels a read that is under way in the background."""
+        await self.admission.close()
+
     async def confirm_completions(self) -> None:
         """Stores which jobs were reported as completed; runs until cancelled.
 
@@ -332,7 +367,7 @@
         self, job: JobId, deadline_s: float
     ) -> CallOutcome:
         key = keys.cancellation_key(job)
-        outcome = await self._write_key(key, b"", deadline_s, absent=(key,))
+        outcome = await self._write_key(key, b"", deadline_s, expected={key: 0})
         if outcome is CallOutcome.CONFLICTING:
             return CallOutcome.ACCEPTED
         return outcome
@@ -345,19 +380,65 @@
             keys.withdrawal_key(job, account or AccountId("")),
             b"withdrawn",
             deadline_s,
-            absent=(keys.job_key(job),),
+            expected={keys.job_key(job): 0},
         )
         if outcome is CallOutcome.ACCEPTED:
             return CallOutcome.ABSENT
         return outcome
 
+    async def _refuse(self, record: jobs.Job, deadline_s: float) -> CallOutcome:
+        """Refuses a job, unless it is stored already.
+
+        An earlier call for the job may be unanswered, on any instance, and its
+        write may be done later. It fails once the refusal is stored, as it
+        requires that there is none.
+        """
+        outcome = await self._write_unless_stored(
+            record,
+            keys.withdrawal_key(record.job, record.account),
+            REFUSAL_VALUE,
+            deadline_s,
+        )
+        return outcome or CallOutcome.OVERLOADED
+
+    async def _write_unless_stored(
+        self, record: jobs.Job, key: str, value: bytes, deadline_s: float
+    ) -> CallOutcome | None:
+        """Writes a key unless a job is stored or cancelled.
+
+        Neither a creation nor a refusal may be overtaken by an earlier one of
+        the same job: each names the revision of the refusal before it.
+
+        Returns:
+            None if the key was written, otherwise the outcome of the call.
+        """
+        withdrawal_key = keys.withdrawal_key(record.job, record.account)
+        expected = {keys.job_key(record.job): 0, withdrawal_key: 0}
+        while True:
+            outcome = await self._write_key(
+                key, value, deadline_s, expected=expected
+            )
+            if outcome is CallOutcome.ACCEPTED:
+                return None
+            if outcome is not CallOutcome.CONFLICTING:
+                return outcome
+            stored, refusal = await self._compare_with_stored(
+                record, deadline_s
+            )
+            if refusal is None:
+                return stored
+            if refusal.revision == expected[withdrawal_key]:
+                # The conflict is with a change that has been undone since.
+                return CallOutcome.UNKNOWN
+            expected[withdrawal_key] = refusal.revision
+
     async def _write_key(
         self,
         key: str,
         value: bytes,
         deadline_s: float,
         *,
-        absent: Iterable[str],
+        expected: Mapping[str, int],
     ) -> CallOutcome:
         """Writes a key, with retries.
 
@@ -365,10 +446,9 @@
             key: the key.
             value: its value.
             deadline_s: time on the clock by which the call returns.
-            absent: keys of which none may exist; otherwise the outcome is
-                CONFLICTING.
+            expected: revision that each of these keys must have, 0 for one
+                that must not exist; otherwise the outcome is CONFLICTING.
         """
-        expected = dict.fromkeys(absent, 0)
         put = store.Put(key=key, value=value)
         retry_until_s = self.clock.now() + REFUSED_RETRY_WINDOW_S
         may_be_stored = False
@@ -439,12 +519,13 @@
 
     async def _compare_with_stored(
         self, record: jobs.Job, deadline_s: float
-    ) -> CallOutcome:
-        """Returns the outcome for a submission whose key exists already.
+    ) -> tuple[CallOutcome, store.Entry | None]:
+        """Returns the outcome for a submission that met a conflict.
 
         ACCEPTED if the stored job has the same account and specification,
         CONFLICTING if it differs, WITHDRAWN if there is none since its account
-        has cancelled it, and UNKNOWN if the store does not tell.
+        has cancelled it, and UNKNOWN if the store does not tell. If there is
+        none since it was refused, the refusal is returned as well.
         """
         withdrawal_key = keys.withdrawal_key(record.job, record.account)
         try:
@@ -455,14 +536,19 @@
                 withdrawal = await self._call_store(
                     self.store.get(withdrawal_key), deadline_s
                 )
+                if withdrawal is None:
+                    return CallOutcome.UNKNOWN, None
+                is_refusal = withdrawal.value == REFUSAL_VALUE
                 return (
-                    CallOutcome.WITHDRAWN if withdrawal else CallOutcome.UNKNOWN
+                    CallOutcome.WITHDRAWN,
+                    withdrawal if is_refusal else None,
                 )
         except store.StoreError:
-            return CallOutcome.UNKNOWN
+            return CallOutcome.UNKNOWN, None
         stored = jobs.decode_job(entry.value)
         is_same = (stored.account, stored.spec) == (record.account, record.spec)
-        return CallOutcome.ACCEPTED if is_same else CallOutcome.CONFLICTING
+        outcome = CallOutcome.ACCEPTED if is_same else CallOutcome.CONFLICTING
+        return outcome, None
 
     async def _read_entry(
         self, key: str, deadline_s: float
--- a/magnoliaglade/gateway/tests/test_gateway.py
+++ b/magnoliaglade/gateway/tests/test_gateway.py
@@ -58,12 +58,13 @@
         assert task.done()
         return task.result(), self.clock.now() - started_at_s
 
-    def submit(self, *, account=ACCOUNT, spec=SPEC):
-        return self.run(
+    async def submit(self, *, account=ACCOUNT, spec=SPEC):
+        result, duration_s = await self.run(
             self.gateway.submit(
                 job=JOB, queue=QUEUE, account=account, spec=spec, timeout_s=2.4
             )
         )
+        return result.outcome, duration_s
 
     def cancel(self, *, account=ACCOUNT):
         return self.run(
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -92,6 +92,7 @@
             revoke_s=settings.bounds.revoke_s,
             query_coordinator=self._coordinator_client.find_summary,
             announce=self._announce,
+            observe_refused=self._observe_refused,
         )
         self.monitor = supervision.LoopMonitor(clock=clock)
         self.election = coordinator.Election(
@@ -175,6 +176,7 @@
         if self._confirm_task is not None:
             self._confirm_task.cancel()
             await asyncio.gather(self._confirm_task, return_exceptions=True)
+        await self.gateway.close()
         await self.configuration_watcher.stop()
         await self.monitor.stop()
         await self._coordinator_client.stop()
@@ -232,6 +234,7 @@
             observe_plan=self.metrics.plan_duration.observe,
             observe_waste=self._observe_waste,
             observe_unexpected=self._observe_unexpected,
+            observe_deferred=self._observe_deferred,
         )
         try:
             await self._coordinator.run()
@@ -277,6 +280,12 @@
     def _observe_unexpected(self, kind: str) -> None:
         self.metrics.unexpected_runs.labels(kind).inc()
 
+    def _observe_deferred(self, priority: int) -> None:
+        self.metrics.deferred_demands.labels(str(priority)).inc()
+
+    def _observe_refused(self, reason: str) -> None:
+        self.metrics.refused_submissions.labels(reason).inc()
+
     def _internal_application(self) -> blacksheep.Application:
         async def metrics(_: blacksheep.Request) -> blacksheep.Response:
             self._refresh_metrics()
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -44,6 +44,18 @@
             ["kind"],
             registry=self.registry,
         )
+        self.deferred_demands = prometheus_client.Counter(
+            "magnoliaglade_deferred_demands",
+            "Demands deferred in favour of others of their priority.",
+            ["priority"],
+            registry=self.registry,
+        )
+        self.refused_submissions = prometheus_client.Counter(
+            "magnoliaglade_refused_submissions",
+            "Submissions that were refused and never run, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "magnoliaglade_store_calls",
             "Calls to the key-value service since the start.",
--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -1,6 +1,13 @@
 """Placement as pure functions: ordering, bin packing, preemption and trust."""
 
+from magnoliaglade.placement._admission import (
+    MAX_LATENESS_FACTOR,
+    WORK_RATIOS,
+    QueueLoad,
+    WaitEstimator,
+)
 from magnoliaglade.placement._exclusion import excluded_workers
+from magnoliaglade.placement._load_records import decode_counts, encode_counts
 from magnoliaglade.placement._model import (
     Allocation,
     Candidate,
@@ -35,6 +42,8 @@
 )
 
 __all__ = [
+    "MAX_LATENESS_FACTOR",
+    "WORK_RATIOS",
     "Allocation",
     "Candidate",
     "Claim",
@@ -44,6 +53,7 @@
     "Plan",
     "Planner",
     "Preemption",
+    "QueueLoad",
     "RunTimeEstimator",
     "RunTimeObservation",
     "Snapshot",
@@ -53,9 +63,12 @@
     "Timeliness",
     "TrustEstimator",
     "UnitId",
+    "WaitEstimator",
     "WorkEstimator",
     "WorkObservation",
     "core_seconds",
+    "decode_counts",
+    "encode_counts",
     "excluded_workers",
     "job_core_s",
     "job_value",
--- a/magnoliaglade/platform/_job_api.py
+++ b/magnoliaglade/platform/_job_api.py
@@ -32,6 +32,7 @@
     CallOutcome.ABSENT: 410,
     CallOutcome.CONFLICTING: 409,
     CallOutcome.WITHDRAWN: 410,
+    CallOutcome.OVERLOADED: 503,
 }
 
 
@@ -189,14 +190,16 @@
             return _error_response(400, str(error))
         if queue.needs_advice:
             return _error_response(503, "queues with advice are not offered")
-        outcome = await self.gateway.submit(
+        result = await self.gateway.submit(
             job=job,
             queue=queue,
             account=account or AccountId(""),
             spec=spec,
             timeout_s=timeout_s,
         )
-        return self._outcome_response(outcome)
+        if _STATUS_BY_OUTCOME[result.outcome] == 503:
+            return _retry_response(result.retry_after_s)
+        return self._outcome_response(result.outcome)
 
     def _outcome_response(self, outcome: CallOutcome) -> blacksheep.Response:
         if outcome is CallOutcome.REFUSED:
@@ -204,10 +207,7 @@
         return _empty_response(_STATUS_BY_OUTCOME[outcome])
 
     def _refused_response(self) -> blacksheep.Response:
-        response = _empty_response(503)
-        after = str(self.gateway.retry_after_s).encode()
-        response.add_header(b"retry-after", after)
-        return response
+        return _retry_response(self.gateway.retry_after_s)
 
 
 _STATE_NAMES = {
@@ -242,5 +242,11 @@
     return http.json_response(status, {})
 
 
+def _retry_response(retry_after_s: int) -> blacksheep.Response:
+    response = _empty_response(503)
+    response.add_header(b"retry-after", str(retry_after_s).encode())
+    return response
+
+
 def _error_response(status: int, reason: str) -> blacksheep.Response:
     return http.json_response(status, {"error": reason})
