--- a/magnoliaglade/coordinator/_housekeeping.py
+++ b/magnoliaglade/coordinator/_housekeeping.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import observability, placement, store
+from magnoliaglade import observability, placement, store, supervision
 from magnoliaglade.coordinator._journal import (
     MAX_TRANSACTION_ENTRIES,
     Journal,
@@ -86,7 +86,7 @@
                 if is_waiting and not progress.state.is_final:
                     queue = progress.job.queue
                     counts[queue] = counts.get(queue, 0) + 1
-            loads = self.estimate_loads()
+            loads = self._estimate_loads()
             self._log_overload(frozenset(loads))
             packed = placement.encode_counts(counts, loads)
             if loads or packed != self._published:
@@ -94,6 +94,21 @@
                 self.journal.write(keys.COUNTS_KEY, lambda p=packed: p)
             await self.clock.sleep(COUNTS_INTERVAL_S)
 
+    def _estimate_loads(self) -> Mapping[QueueName, placement.QueueLoad]:
+        """Returns the loads; none after an unexpected error.
+
+        The counts are published in any case.
+        """
+        try:
+            return self.estimate_loads()
+        except Exception as error:
+            observability.log_event(
+                "overload",
+                state="not estimated",
+                **supervision.describe_error(error),
+            )
+            return {}
+
     def _log_overload(self, queues: frozenset[QueueName]) -> None:
         """Logs which queues are overloaded, when this changes."""
         if queues != self._overloaded:
--- a/magnoliaglade/coordinator/_queue_loads.py
+++ b/magnoliaglade/coordinator/_queue_loads.py
@@ -72,7 +72,8 @@
                 run_times_s = self.snapshot_builder.run_times.step_run_times_s(
                     job
                 )
-                paths_s.append(max(job.chain_lengths_s(run_times_s)))
+                chains_s = job.chain_lengths_s(run_times_s)
+                paths_s.append(max(chains_s, default=0.0))
         core_s = self.snapshot_builder.work.mean_core_s(queue.name)
         if not paths_s or core_s <= 0.0:
             return None
