Describe the order under scarcity, and bound its cost

A demand displaces at most 16 others, which keeps the cost of a selection linear. A record of waiting jobs that cannot be read no longer ends the background read.

--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -168,8 +168,11 @@
         self, plannable: _PlannableJob, wall_s: float
     ) -> Iterable[Allocation]:
         progress = plannable.progress
+        attempts = list(progress.attempts())
+        if not attempts:
+            return
         chain_lengths_s = progress.job.chain_lengths_s(plannable.run_times_s)
-        for key, attempt in progress.attempts():
+        for key, attempt in attempts:
             spec = progress.job.spec.steps[key.step]
             run_time_s = plannable.run_times_s[key.step]
             elapsed_s = max(0.0, wall_s - attempt.started_at_s)
--- a/magnoliaglade/gateway/_admission.py
+++ b/magnoliaglade/gateway/_admission.py
@@ -4,7 +4,7 @@
 import math
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import jobs, observability, placement, store
+from magnoliaglade import jobs, observability, placement, store, supervision
 from magnoliaglade.jobs import keys
 from magnoliaglade.routing import ConfigurationWatcher
 from magnoliaglade.types import QueueName
@@ -123,9 +123,14 @@
             entry = await self.clock.wait_for(
                 self.store.get(keys.COUNTS_KEY), READ_TIMEOUT_S
             )
+            self.record(entry, read_at_s=read_at_s)
         except (TimeoutError, store.StoreError) as error:
             observability.log_event(
                 "queue loads", outcome="not read", reason=str(error)
             )
-            return
-        self.record(entry, read_at_s=read_at_s)
+        except Exception as error:
+            observability.log_event(
+                "queue loads",
+                outcome="not usable",
+                **supervision.describe_error(error),
+            )
--- a/magnoliaglade/placement/_admission.py
+++ b/magnoliaglade/placement/_admission.py
@@ -184,8 +184,8 @@
         priority do not count.
         """
         now_s = self._snapshot.now_s
-        capacity = Width(0, 0, 0)
-        work = Width(0, 0, 0)
+        capacity = (0, 0, 0)
+        work = (0, 0, 0)
         usable = set()
         for candidate in self._snapshot.candidates:
             if candidate.service == service and candidate.is_schedulable:
@@ -219,6 +219,4 @@
 
 
 def _add_scaled(a: Width, b: Width, factor: float) -> Width:
-    return Width(
-        a[0] + b[0] * factor, a[1] + b[1] * factor, a[2] + b[2] * factor
-    )
+    return _pool_capacity.add(a, _pool_capacity.scale(b, factor))
--- a/magnoliaglade/placement/_overload.py
+++ b/magnoliaglade/placement/_overload.py
@@ -12,12 +12,11 @@
 import dataclasses
 import enum
 
-from magnoliaglade.placement import _selection
+from magnoliaglade.placement import _pool_capacity, _selection
 from magnoliaglade.placement._model import Demand, Snapshot, UnitId
 from magnoliaglade.placement._pool_capacity import (
     PoolCapacity,
     Taken,
-    Width,
     width_of,
 )
 from magnoliaglade.placement._selection import Item
@@ -161,7 +160,7 @@
         area = max(_MIN_AREA, share * run_s)
         if share > 1.0:
             # Its tasks run one after the other.
-            width = Width(*(x / share for x in width))
+            width = _pool_capacity.scale(width, 1.0 / share)
             run_s *= share
         return Item(
             demand=demand,
--- a/magnoliaglade/placement/_pool_capacity.py
+++ b/magnoliaglade/placement/_pool_capacity.py
@@ -23,12 +23,10 @@
 _HORIZON_S = 120.0
 
 
-class Width(NamedTuple):
-    """Resources of several tasks or workers; may be fractions or negative."""
-
-    cores_m: float
-    memory_mb: float
-    accelerators: float
+# Resources of several tasks or workers, which may be fractions or negative:
+# thousandths of cores, megabytes of memory, and accelerators. A plain tuple, as
+# selections create thousands of them for each plan.
+Width = tuple[float, float, float]
 
 
 class Taken(NamedTuple):
@@ -50,12 +48,12 @@
     releases: list[Taken]
 
 
-_NOTHING = Width(0, 0, 0)
+_NOTHING = (0, 0, 0)
 
 
 def width_of(resources: Resources, count: int = 1) -> Width:
     """Returns the resources of `count` tasks."""
-    return Width(
+    return (
         resources.cores_m * count,
         resources.memory_mb * count,
         resources.accelerators * count,
@@ -64,12 +62,17 @@
 
 def add(a: Width, b: Width) -> Width:
     """Returns the sum for each kind of resource."""
-    return Width(a[0] + b[0], a[1] + b[1], a[2] + b[2])
+    return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
 
 
 def subtract(a: Width, b: Width) -> Width:
     """Returns the difference for each kind of resource."""
-    return Width(a[0] - b[0], a[1] - b[1], a[2] - b[2])
+    return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
+
+
+def scale(a: Width, factor: float) -> Width:
+    """Returns the product for each kind of resource."""
+    return (a[0] * factor, a[1] * factor, a[2] * factor)
 
 
 def is_within(a: Width, b: Width) -> bool:
@@ -84,7 +87,7 @@
         cores_m += width[0]
         memory_mb += width[1]
         accelerators += width[2]
-    return Width(cores_m, memory_mb, accelerators)
+    return (cores_m, memory_mb, accelerators)
 
 
 class _Group(NamedTuple):
@@ -121,7 +124,7 @@
             c.capacity for c in self._workers if c.is_schedulable
         )
         # A kind that the pool lacks is only needed by what it cannot hold.
-        self._per_total = Width(*(1.0 / t if t else 0.0 for t in self.total))
+        self._per_total = tuple(1.0 / t if t else 0.0 for t in self.total)
         self._running = [
             a
             for a in snapshot.allocations
@@ -157,7 +160,7 @@
             memory_mb += demand.resources.memory_mb * count
             accelerators += demand.resources.accelerators * count
         used = _sum_resources(a.demand for a in self._running)
-        needed = Width(cores_m, memory_mb, accelerators)
+        needed = (cores_m, memory_mb, accelerators)
         return is_within(needed, subtract(self.total, used))
 
     def room(self, priority: int, taken: Iterable[Taken]) -> Room:
@@ -214,11 +217,13 @@
                 period,
             )
             demand = allocation.demand
-            found = sums.setdefault(key, [0, 0, 0])
+            found = sums.get(key)
+            if found is None:
+                found = sums[key] = [0, 0, 0]
             found[0] += demand.cores_m
             found[1] += demand.memory_mb
             found[2] += demand.accelerators
-        return {_Group(*k): Width(*v) for k, v in sums.items()}
+        return {_Group(*k): tuple(v) for k, v in sums.items()}
 
     @functools.cached_property
     def _urgent(self) -> Room:
@@ -268,4 +273,4 @@
         cores_m += item.cores_m
         memory_mb += item.memory_mb
         accelerators += item.accelerators
-    return Width(cores_m, memory_mb, accelerators)
+    return (cores_m, memory_mb, accelerators)
--- a/magnoliaglade/placement/_selection.py
+++ b/magnoliaglade/placement/_selection.py
@@ -20,6 +20,10 @@
 from magnoliaglade.placement._model import Demand
 from magnoliaglade.placement._pool_capacity import Room, Taken, Width
 
+# Largest number of demands that one displaces, which keeps the cost linear. The
+# values of jobs differ by up to 4 / 0.3, so that more would be worth more.
+MAX_DISPLACED = 16
+
 _NEVER_S = float("inf")
 
 
@@ -121,7 +125,9 @@
                 chosen.append(started)
                 free = _pool_capacity.add(free, started.item.width)
                 value += started.item.value
-            if started is None or (by_total and value >= item.value):
+            is_worth_more = by_total and value >= item.value
+            is_long = len(chosen) > MAX_DISPLACED
+            if started is None or is_worth_more or is_long:
                 is_better = False
                 break
         for started in chosen:
@@ -174,7 +180,12 @@
             self._position += 1
         else:
             width = heapq.heappop(ends)[2].item.width
-        self._free = _pool_capacity.add(self._free, width)
+        free = self._free
+        self._free = (
+            free[0] + width[0],
+            free[1] + width[1],
+            free[2] + width[2],
+        )
         if at_s > self._now_s:
             self._now_s = at_s
         return True
--- a/magnoliaglade/placement/tests/test_cost.py
+++ b/magnoliaglade/placement/tests/test_cost.py
@@ -1,7 +1,7 @@
 import pytest
 
 from magnoliaglade import placement
-from magnoliaglade.placement import _capacity_tracker
+from magnoliaglade.placement import _capacity_tracker, _order, _selection
 from magnoliaglade.placement.tests import builders
 
 
@@ -79,3 +79,38 @@
         assert len({p.beneficiary for p in plan.preemptions}) == 2
         _, plan = count_queries(*full_pool(2), urgent, max_searches=3)
         assert plan.is_complete
+
+
+class TestOrderCost:
+    # Load pattern: an overload with hundreds of waiting demands. Each plan
+    # orders them, so that a cost which grows with their square delays renewals.
+
+    def test_cost_of_the_selection_is_linear_in_the_demands(self, monkeypatch):
+        calls = []
+        for name in ("_advance", "_pop_least", "_start"):
+            original = getattr(_selection._Simulation, name)
+
+            def count(self, *args, _original=original):
+                calls.append(1)
+                return _original(self, *args)
+
+            monkeypatch.setattr(_selection._Simulation, name, count)
+        candidates, allocations = full_pool(4)
+        demands = [
+            builders.demand(
+                f"d{n}",
+                1 + n % 7,
+                8,
+                value=1.0 + n % 5,
+                latest_start_s=builders.NOW_S + n * 37 % 25,
+            )
+            for n in range(400)
+        ]
+        snapshot = builders.snapshot(
+            candidates, allocations=allocations, demands=demands
+        )
+        assert _order.order_demands(snapshot)[1]
+        # Two selections are tried twice each. A demand starts and ends once,
+        # fails once, and looks at as many others as it may displace.
+        per_demand = _selection.MAX_DISPLACED + 4
+        assert len(calls) <= 2 * 2 * (len(demands) * per_demand + 1)
--- a/magnoliaglade/placement/tests/test_overload.py
+++ b/magnoliaglade/placement/tests/test_overload.py
@@ -189,6 +189,57 @@
         names, _ = order_of(demands, allocations=running)
         assert names.index("o") < names.index("l")
 
+    def play_burst(self, seed):
+        """Returns how many jobs of others, and of all, were on time."""
+        rng = random.Random(seed)
+        fields = {
+            "priority": 1,
+            "count": 2,
+            "demand": Resources(cores_m=3_000, memory_mb=1, accelerators=8),
+            "is_gang": True,
+            "stretch": 2.0,
+            "work_s": 6.0,
+            "estimate_s": 6.0,
+        }
+        load = [
+            pool.LoadJob(
+                name=f"{account}{n}",
+                account=account if account == "large" else f"other{n % 9}",
+                arrives_at_s=rng.uniform(*arrival_s),
+                **fields,
+            )
+            for account, count, arrival_s in (
+                ("large", 60, (0.0, 1.0)),
+                ("other", 18, (1.0, 10.0)),
+            )
+            for n in range(count)
+        ]
+        model = pool.PoolModel(
+            planner=placement.Planner(),
+            workers=pool.make_workers(
+                16, per_rack=8, capacity=builders.CAPACITY
+            ),
+        )
+        outcome = model.play(load, until_s=60.0)
+        on_time = [
+            j.account
+            for j in load
+            if outcome.ended_at_s.get(j.name, float("inf")) - j.arrives_at_s
+            <= j.objective_s
+        ]
+        return sum(a != "large" for a in on_time), len(on_time)
+
+    def test_burst_of_one_account_delays_fewer_jobs_of_others(
+        self, monkeypatch
+    ):
+        others, total = self.play_burst(3)
+        monkeypatch.setattr(
+            _overload, "rank_demands", lambda _: _overload.Ranks()
+        )
+        others_before, total_before = self.play_burst(3)
+        assert others > others_before
+        assert total >= total_before
+
 
 class TestStarvation:
     # Load pattern: an overload that lasts. Guards against large jobs that are
