--- a/magnoliaglade/placement/_overload.py
+++ b/magnoliaglade/placement/_overload.py
@@ -23,10 +23,12 @@
 from magnoliaglade.placement._timeliness import Timeliness, timeliness_of
 from magnoliaglade.types import AccountId, ServiceName
 
-# Time in seconds beyond its latest start for which a demand may be passed over.
-# About twice the longest objective of the known queues: a shorter time would
-# bring work that is worth nothing before work that can be on time.
-MAX_PASSED_OVER_S = 60.0
+# Time in seconds beyond its latest start for which a demand may be passed over
+# while its result is still worth something; about the longest usual objective.
+MAX_PASSED_OVER_S = 30.0
+# The same, once its result is worth nothing. A shorter time would bring such
+# work before work that can be on time, during the usual bursts.
+MAX_USELESS_S = 60.0
 # Part of a pool that work which was passed over for long may use at a time, so
 # that an overload that lasts does not turn into one of overdue work alone.
 MAX_OVERDUE_SHARE = 0.125
@@ -225,7 +227,11 @@
         return [*on_time.taken, *useful.taken, *late_taken]
 
     def _is_overdue(self, demand: Demand) -> bool:
-        return self._now_s - demand.latest_start_s > MAX_PASSED_OVER_S
+        timeliness = timeliness_of(demand, now_s=self._now_s)
+        limit_s = MAX_PASSED_OVER_S
+        if timeliness is Timeliness.TOO_LATE:
+            limit_s = MAX_USELESS_S
+        return self._now_s - demand.latest_start_s > limit_s
 
     def _promote_overdue(
         self, priority: int, items: list[Item], over: frozenset[UnitId]
--- a/magnoliaglade/placement/tests/test_overload.py
+++ b/magnoliaglade/placement/tests/test_overload.py
@@ -246,7 +246,7 @@
     # passed over for ever, the first complaint of users.
 
     def overdue(self, name, count, **fields):
-        late_s = -_overload.MAX_PASSED_OVER_S - 1.0
+        late_s = -_overload.MAX_USELESS_S - 1.0
         return builders.demand(
             name, count, 8, value=0.1, **due_in(late_s, **fields)
         )
@@ -260,6 +260,21 @@
         names, _ = order_of([*self.fresh(), self.overdue("old", 6)])
         assert names[0] == "old"
 
+    @pytest.mark.parametrize(
+        ("useful_until_s", "is_first"), [(1.0, True), (-1.0, False)]
+    )
+    def test_useful_demand_goes_first_earlier(self, useful_until_s, is_first):
+        late = builders.demand(
+            "late",
+            6,
+            8,
+            value=0.1,
+            latest_start_s=builders.NOW_S - _overload.MAX_PASSED_OVER_S - 1.0,
+            latest_useful_start_s=builders.NOW_S + useful_until_s,
+        )
+        names, _ = order_of([*self.fresh(), late])
+        assert (names[0] == "late") is is_first
+
     def test_overdue_work_uses_a_part_of_the_pool_at_a_time(self):
         overdue = [self.overdue(f"old{n}", 1) for n in range(20)]
         names, _ = order_of([*self.fresh(), *overdue])
@@ -308,7 +323,7 @@
         )
         outcome = model.play(load, until_s=130.0)
         objective_s = 3.0 * 6.0 + 1.0
-        limit_s = objective_s + _overload.MAX_PASSED_OVER_S + 2 * 6.0
+        limit_s = objective_s + _overload.MAX_USELESS_S + 2 * 6.0
         assert outcome.waited_s["l"] < limit_s
 
 
