--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -1,6 +1,13 @@
 """Placement as pure functions: ordering, bin packing, preemption and trust."""
 
+from magnoliaglade.placement._admission import (
+    MAX_LATENESS_FACTOR,
+    WORK_RATIOS,
+    QueueLoad,
+    WaitEstimator,
+)
 from magnoliaglade.placement._exclusion import excluded_workers
+from magnoliaglade.placement._load_records import decode_counts, encode_counts
 from magnoliaglade.placement._model import (
     Allocation,
     Candidate,
@@ -14,11 +21,7 @@
     Start,
     UnitId,
 )
-from magnoliaglade.placement._order import (
-    Timeliness,
-    order_demands,
-    timeliness_of,
-)
+from magnoliaglade.placement._order import order_demands
 from magnoliaglade.placement._planner import Planner
 from magnoliaglade.placement._preemption import core_seconds
 from magnoliaglade.placement._run_times import (
@@ -26,13 +29,23 @@
     RunTimeObservation,
 )
 from magnoliaglade.placement._speeds import SpeedEstimator, SpeedObservation
+from magnoliaglade.placement._timeliness import Timeliness, timeliness_of
 from magnoliaglade.placement._trust import (
     Evidence,
     Observation,
     TrustEstimator,
 )
+from magnoliaglade.placement._work import (
+    WorkEstimator,
+    WorkObservation,
+    job_core_s,
+    job_value,
+    step_core_s,
+)
 
 __all__ = [
+    "MAX_LATENESS_FACTOR",
+    "WORK_RATIOS",
     "Allocation",
     "Candidate",
     "Claim",
@@ -44,6 +57,7 @@
     "Plan",
     "Planner",
     "Preemption",
+    "QueueLoad",
     "RunTimeEstimator",
     "RunTimeObservation",
     "Snapshot",
@@ -53,8 +67,16 @@
     "Timeliness",
     "TrustEstimator",
     "UnitId",
+    "WaitEstimator",
+    "WorkEstimator",
+    "WorkObservation",
     "core_seconds",
+    "decode_counts",
+    "encode_counts",
     "excluded_workers",
+    "job_core_s",
+    "job_value",
     "order_demands",
+    "step_core_s",
     "timeliness_of",
 ]
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -168,10 +168,11 @@
         )
 
     def build(self) -> Plan:
-        demands = self.snapshot.demands
+        snapshot = self.snapshot
         if not self.tracker.do_racks_matter:
-            demands = tuple(_without_rack(d) for d in demands)
-        ordered = _order.order_demands(demands, now_s=self.snapshot.now_s)
+            demands = tuple(_without_rack(d) for d in snapshot.demands)
+            snapshot = dataclasses.replace(snapshot, demands=demands)
+        ordered, deferred = _order.order_demands(snapshot)
         for demand in _claims.order_by_claim(ordered, self._claims):
             remaining = demand
             if demand.unit in self._claims:
@@ -188,6 +189,7 @@
             ),
             lost_core_s=self._preemptor.lost_core_s,
             is_complete=not self._preemptor.is_exhausted,
+            deferred=deferred,
         )
 
     def _place(self, demand: Demand) -> None:
--- a/magnoliaglade/placement/_preemptor.py
+++ b/magnoliaglade/placement/_preemptor.py
@@ -9,9 +9,9 @@
 
 from magnoliaglade.placement import (
     _gang_packing,
-    _order,
     _packing,
     _preemption,
+    _timeliness,
 )
 from magnoliaglade.placement._capacity_tracker import CapacityTracker
 from magnoliaglade.placement._model import (
@@ -207,13 +207,13 @@
         """Returns the core-seconds that a demand may still throw away."""
         if demand.is_guaranteed:
             return float("inf")
-        timeliness = _order.timeliness_of(
+        timeliness = _timeliness.timeliness_of(
             demand, now_s=self.snapshot.now_s + extra_s
         )
-        if timeliness is _order.Timeliness.TOO_LATE:
+        if timeliness is _timeliness.Timeliness.TOO_LATE:
             return 0.0
         limit = self.max_loss_ratio * work_core_s(demand)
-        if timeliness is _order.Timeliness.LATE:
+        if timeliness is _timeliness.Timeliness.LATE:
             limit *= self.late_loss_ratio
         return max(0.0, limit - self.already_lost_core_s(demand))
 
--- a/magnoliaglade/standins/pool.py
+++ b/magnoliaglade/standins/pool.py
@@ -359,6 +359,7 @@
             latest_start_s=due_at_s - run_time_s,
             latest_useful_start_s=late_at_s - run_time_s,
             has_begun=job.name in self.outcome.waited_s,
+            value=job.worth,
         )
 
     def _use(self, run: _Run, protected: set[str]) -> Allocation:
@@ -376,6 +377,8 @@
             is_gang=run.job.is_gang,
             loss_s=min(elapsed_s, ORDER_S) if is_saving else elapsed_s,
             ends_at_s=self._expected_end_s(run),
+            latest_end_s=run.job.arrives_at_s + run.job.objective_s,
+            estimate_s=run.job.estimate_s,
         )
 
     def _expected_end_s(self, run: _Run) -> float:
