Estimate lasting speeds of workers and place by them

Urgent gangs land on fast workers hardly more often than by chance, as the estimate of a speed returns to 1 within 15 s. A speed now has a lasting component beside the transient one. The spread of the lasting component is estimated over the pool and is zero among equal workers. Batch work goes to lastingly slow workers first where it is on time there; expected ends and the check of a worker's departure count the speed. The estimator and its use in placement are usable; the estimates are not stored yet.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -190,6 +190,7 @@
                 sender=self.sender,
                 clock=clock,
                 run_times=self.run_times,
+                speeds=self.speeds,
                 stop_s=timings.stop_s,
                 on_stall=self._record_stall,
             ),
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -30,6 +30,13 @@
 OnEnd = Callable[[JobProgress, TaskKey, int, RunOutcome], None]
 ObserveUnexpected = Callable[[str], None]
 
+# Longest run time, in seconds, that is measured from the order to the report of
+# the end. Longer runs are listed by a report in between, unless reports are
+# missing, and then the time of the end is not known.
+MAX_MEASURED_RUN_S = _watchdog.MAX_REPORT_GAP_S
+# Shortest one; below it the delays of messages outweigh the run time.
+MIN_MEASURED_RUN_S = 0.4
+
 
 class ReportHandler:
     """Applies ends, progress and missing runs from reports.
@@ -74,6 +81,7 @@
         self, link: WorkerLink, report: WorkerReport, requested_at_s: float
     ) -> int:
         """Applies a report; returns the journal position of its ends."""
+        self.speeds.set_lifetime(link.worker, report.lifetime)
         attempts = self.table.attempts_on(link.worker)
         expected = {
             id(item): (item, progress, attempt)
@@ -89,6 +97,8 @@
         for item, end in result.ended:
             _, progress, attempt = expected[id(item)]
             progress.confirm_start(attempt)
+            if end.outcome is RunOutcome.DONE:
+                self._observe_end(progress, item.key, attempt, report)
             progress.save_checkpoint(item.key, end.checkpoint)
             self._record_end(progress, item.key, attempt.worker, end.outcome)
             self.on_end(progress, item.key, item.run, end.outcome)
@@ -99,9 +109,14 @@
             interval_run_time_s = _watchdog.interval_run_time_s(
                 attempt, percent=status.percent, reported_ms=report.clock_ms
             )
+            progressed = status.percent - attempt.percent
             self._update_running(attempt, status.percent, report)
             self._observe_progress(
-                progress, item.key, attempt, interval_run_time_s
+                progress,
+                item.key,
+                attempt,
+                interval_run_time_s,
+                progressed=progressed,
             )
         for item in result.lost:
             _, progress, attempt = expected[id(item)]
@@ -213,6 +228,8 @@
         key: TaskKey,
         attempt: jobs.Attempt,
         interval_run_time_s: float | None,
+        *,
+        progressed: float,
     ) -> None:
         """Updates the speed of a worker and the run time of a queue.
 
@@ -222,6 +239,7 @@
             attempt: its run.
             interval_run_time_s: run time, in seconds, extrapolated from the
                 progress since the last report; None if it is unknown.
+            progressed: that progress in percent.
         """
         step_key = jobs.StepKey(key.occurrence, key.step)
         spec = progress.spec_of(step_key)
@@ -230,19 +248,14 @@
         queue = progress.job.queue
         unit = UnitId(progress.job.job, step_key)
         if interval_run_time_s is not None:
-            sibling_s = self.run_times.sibling_run_time_s(
-                queue, unit, attempt.worker
-            )
-            expected_s = sibling_s or self.run_times.run_time_s(
-                queue, spec.estimate_s
-            )
-            speed = SpeedObservation(
-                worker=attempt.worker,
-                ratio=expected_s / interval_run_time_s,
-                is_relative=sibling_s is not None,
-                at_s=self.clock.now(),
+            self._observe_speed(
+                progress,
+                step_key,
+                attempt,
+                interval_run_time_s,
+                share=max(0.0, progressed) / 100.0,
+                is_current=True,
             )
-            self.speeds.partial_fit([speed])
         run_time_s = attempt.extrapolated_run_time_s
         if run_time_s is not None:
             run_time = RunTimeObservation(
@@ -251,10 +264,88 @@
                 index=key.index,
                 worker=attempt.worker,
                 declared_s=spec.estimate_s,
-                run_time_s=run_time_s,
+                run_time_s=run_time_s
+                * self.speeds.lasting_speed(attempt.worker),
             )
             self.run_times.partial_fit([run_time])
 
+    def _observe_end(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: jobs.Attempt,
+        report: WorkerReport,
+    ) -> None:
+        """Updates the lasting speed of a worker with a short run's end.
+
+        Runs whose progress has been measured count by that. Members of a gang
+        end with its slowest, which tells nothing about their own workers.
+        """
+        step_key = jobs.StepKey(key.occurrence, key.step)
+        spec = progress.spec_of(step_key)
+        is_measured = attempt.percent > attempt.first_percent
+        if spec.is_gang or is_measured or not _is_comparable(spec, attempt):
+            return
+        if attempt.reported_ms:
+            elapsed_s = (report.clock_ms - attempt.first_reported_ms) / 1000.0
+            share = 1.0 - attempt.first_percent / 100.0
+        else:
+            if attempt.settled_at_s is None or spec.is_checkpointable:
+                return
+            elapsed_s = self.clock.now() - attempt.settled_at_s
+            share = 1.0
+        if not MIN_MEASURED_RUN_S <= elapsed_s <= MAX_MEASURED_RUN_S:
+            return
+        self._observe_speed(
+            progress,
+            step_key,
+            attempt,
+            elapsed_s / share,
+            share=share,
+            is_current=False,
+        )
+
+    def _observe_speed(
+        self,
+        progress: JobProgress,
+        step_key: jobs.StepKey,
+        attempt: jobs.Attempt,
+        run_time_s: float,
+        *,
+        share: float,
+        is_current: bool,
+    ) -> None:
+        """Updates the speed of a worker.
+
+        Args:
+            progress: the job.
+            step_key: the run of a step.
+            attempt: a run of one of its tasks.
+            run_time_s: its run time in seconds.
+            share: share of the run that the run time is extrapolated from.
+            is_current: the run time shows the present speed.
+        """
+        queue = progress.job.queue
+        spec = progress.spec_of(step_key)
+        sibling_s = self.run_times.sibling_run_time_s(
+            queue, UnitId(progress.job.job, step_key), attempt.worker
+        )
+        expected_s = sibling_s or self.run_times.run_time_s(
+            queue, spec.estimate_s
+        )
+        # Without siblings elsewhere, all tasks of a step deviate alike from the
+        # run times of their queue.
+        runs = share if sibling_s is not None else share / spec.count
+        speed = SpeedObservation(
+            worker=attempt.worker,
+            ratio=expected_s / run_time_s,
+            is_relative=sibling_s is not None,
+            at_s=self.clock.now(),
+            independent_runs=runs,
+            is_current=is_current,
+        )
+        self.speeds.partial_fit([speed])
+
     def _settle_by_stop(
         self, progress: JobProgress, key: TaskKey, requested_at_s: float
     ) -> None:
--- a/magnoliaglade/coordinator/_run_monitor.py
+++ b/magnoliaglade/coordinator/_run_monitor.py
@@ -31,6 +31,7 @@
         sender: sends stops.
         clock: source of time.
         run_times: predicts run times from declared ones.
+        speeds: estimates the speeds of workers.
         stop_s: longest time that a worker takes to stop a run, in seconds.
         on_stall: called with job and worker of a stalled run.
     """
@@ -43,6 +44,7 @@
         sender: OrderSender,
         clock: clock_lib.Clock,
         run_times: placement.RunTimeEstimator,
+        speeds: placement.SpeedEstimator,
         stop_s: float,
         on_stall: Callable[[JobProgress, WorkerId], None],
     ) -> None:
@@ -51,6 +53,7 @@
         self.sender = sender
         self.clock = clock
         self.run_times = run_times
+        self.speeds = speeds
         self.stop_s = stop_s
         self.on_stall = on_stall
         self._checked_at_s = float("-inf")
@@ -109,7 +112,8 @@
         departure = _watchdog.Departure(
             leaves_at_s=link.leaves_at_s, stop_s=self.stop_s
         )
-        remaining_s = run_time_s * (100.0 - attempt.percent) / 100.0
+        speed = self.speeds.known_lasting_speed(attempt.worker)
+        remaining_s = run_time_s / speed * (100.0 - attempt.percent) / 100.0
         return _watchdog.must_stop_before_departure(
             spec, attempt, departure, now_s=now_s, remaining_s=remaining_s
         )
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -143,6 +143,9 @@
             is_schedulable=link.is_schedulable and is_allowed,
             suspicion=round(suspicion, 1),
             speed=round(self.speeds.speed(listed.worker, now_s), 2),
+            lasting_speed=round(
+                self.speeds.known_lasting_speed(listed.worker), 2
+            ),
             is_overdue=link.is_overdue,
             is_quarantined=self.trust.is_quarantined(listed.worker, now_s),
         )
@@ -153,7 +156,9 @@
         progress = plannable.progress
         for key, attempt in progress.attempts():
             spec = progress.job.spec.steps[key.step]
-            run_time_s = plannable.run_times_s[key.step]
+            run_time_s = plannable.run_times_s[
+                key.step
+            ] / self.speeds.known_lasting_speed(attempt.worker)
             elapsed_s = max(0.0, wall_s - attempt.started_at_s)
             if not attempt.started_at_s:
                 elapsed_s = run_time_s * attempt.percent / 100.0
--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -1,6 +1,11 @@
 """Placement as pure functions: ordering, bin packing, preemption and trust."""
 
 from magnoliaglade.placement._exclusion import excluded_workers
+from magnoliaglade.placement._lasting_speeds import Evidence as SpeedEvidence
+from magnoliaglade.placement._lasting_speeds import (
+    LastingSpeed,
+    LastingSpeedEstimator,
+)
 from magnoliaglade.placement._model import (
     Allocation,
     Candidate,
@@ -17,6 +22,7 @@
     order_demands,
     timeliness_of,
 )
+from magnoliaglade.placement._packing import slowest_speed, speed_level
 from magnoliaglade.placement._planner import Planner
 from magnoliaglade.placement._preemption import core_seconds
 from magnoliaglade.placement._run_times import (
@@ -36,6 +42,8 @@
     "Claim",
     "Demand",
     "Evidence",
+    "LastingSpeed",
+    "LastingSpeedEstimator",
     "Observation",
     "Plan",
     "Planner",
@@ -44,6 +52,7 @@
     "RunTimeObservation",
     "Snapshot",
     "SpeedEstimator",
+    "SpeedEvidence",
     "SpeedObservation",
     "Start",
     "Timeliness",
@@ -52,5 +61,7 @@
     "core_seconds",
     "excluded_workers",
     "order_demands",
+    "slowest_speed",
+    "speed_level",
     "timeliness_of",
 ]
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -39,7 +39,9 @@
         is_schedulable: the worker may be given tasks now.
         suspicion: suspicion level, 0 for a healthy worker; workers with higher
             levels are used later.
-        speed: estimated speed; 1 for an average worker.
+        speed: estimated present speed; 1 for an average worker.
+        lasting_speed: the part of it that lasts; 1 unless it is known with
+            some certainty.
         is_overdue: an answer of the worker is overdue.
         is_quarantined: runs on the worker fail or stall; it is used only if
             this holds for most of the workers that a demand may use.
@@ -54,6 +56,7 @@
     is_schedulable: bool
     suspicion: float = 0.0
     speed: float = 1.0
+    lasting_speed: float = 1.0
     is_overdue: bool = False
     is_quarantined: bool = False
 
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -2,10 +2,13 @@
 
 Limits fragmentation: tasks go to the workers on which they leave the fewest
 accelerators unused, so that whole workers and racks stay free for large gangs.
+
+In a pool whose workers differ lastingly, tasks of batch work go to the slow
+ones while they are on time there, so that urgent gangs find the fast ones free.
 """
 
 import collections
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from magnoliaglade.placement._capacity_tracker import CapacityTracker
 from magnoliaglade.placement._model import Candidate, Demand
@@ -16,14 +19,37 @@
 # Speeds in this range are not distinguished when urgent tasks are placed: the
 # estimates are about as exact.
 SPEED_STEP = 0.2
-# Speed below which a worker counts as slow: urgent tasks there miss their
-# objective, and other tasks go elsewhere if they can.
+# Speed, relative to the lasting speed of the worker, below which it counts as
+# slow: urgent tasks there miss their objective, and other tasks go elsewhere
+# if they can.
 SLOW_SPEED = 0.6
 
 
 def is_unfit_for_urgent_work(candidate: Candidate) -> bool:
-    """Returns whether urgent tasks on a worker are likely to be late."""
-    return candidate.is_overdue or candidate.speed < SLOW_SPEED
+    """Returns whether urgent tasks on a worker are likely to be late.
+
+    A worker that is lastingly slow is as fit as others of its kind: urgent work
+    prefers faster ones, but does not stop other work in order to avoid it. The
+    limit counts once more for a worker that is slow beyond all sound kinds.
+    """
+    kind_speed = min(1.0, max(SLOW_SPEED, candidate.lasting_speed))
+    return candidate.is_overdue or candidate.speed < SLOW_SPEED * kind_speed
+
+
+def slowest_speed(candidates: Iterable[Candidate]) -> float:
+    """Returns the speed of a gang on these workers: that of the slowest.
+
+    It is 1 for no workers, as for average ones.
+    """
+    return min((c.speed for c in candidates), default=1.0)
+
+
+def speed_level(speed: float) -> int:
+    """Returns the number of whole steps in a speed.
+
+    Speeds that differ by less than `SPEED_STEP` are not distinguished.
+    """
+    return round(speed / SPEED_STEP)
 
 
 def pack(
@@ -81,30 +107,49 @@
 
 def _preference(
     candidate: Candidate, demand: Demand, tracker: CapacityTracker
-) -> tuple[float, bool, float, int, int]:
+) -> tuple[float, bool, tuple[float, float], int, int]:
     free = tracker.free[candidate.worker]
     need = demand.resources.accelerators
     unused_accelerators = free.accelerators % need if need else 0
     return (
         candidate.suspicion,
         bool(demand.data_rack) and demand.data_rack not in candidate.labels,
-        _slowness(candidate, demand),
+        _speed_preference(candidate, demand, now_s=tracker.snapshot.now_s),
         unused_accelerators,
         free.accelerators,
     )
 
 
-def _slowness(candidate: Candidate, demand: Demand) -> float:
+def _speed_preference(
+    candidate: Candidate, demand: Demand, *, now_s: float
+) -> tuple[float, float]:
     """Returns a sort key: fast workers first for urgent tasks.
 
-    Other tasks only avoid workers that are unfit for urgent ones, so that they
-    are packed densely.
+    Other tasks avoid workers that are unfit for urgent ones. Among the others
+    they prefer those that are lastingly slow, unless they would miss their
+    objective only there; equal workers are packed densely.
     """
     if is_unfit_for_urgent_work(candidate):
-        return float("inf")
-    if demand.priority > 0:
-        return 0.0
-    return -round(candidate.speed / SPEED_STEP)
+        return (float("inf"), 0.0)
+    if demand.priority == 0:
+        return (0.0, -speed_level(candidate.speed))
+    level = speed_level(candidate.lasting_speed)
+    if _is_late_by_speed(candidate, demand, now_s=now_s):
+        return (1.0, -level)
+    return (0.0, level)
+
+
+def _is_late_by_speed(
+    candidate: Candidate, demand: Demand, *, now_s: float
+) -> bool:
+    """Returns whether a result loses value only by a slow worker."""
+    if candidate.lasting_speed >= 1.0:
+        return False
+    latest_start_s = demand.latest_start_s
+    if now_s > latest_start_s:
+        latest_start_s = demand.latest_useful_start_s
+    extra_s = demand.estimate_s * (1.0 / candidate.lasting_speed - 1.0)
+    return now_s <= latest_start_s < now_s + extra_s
 
 
 def _free_accelerators_by_rack(
