--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -24,6 +24,7 @@
 from magnoliaglade.coordinator._reports import ReportHandler
 from magnoliaglade.coordinator._run_monitor import RunMonitor
 from magnoliaglade.coordinator._snapshot import SnapshotBuilder
+from magnoliaglade.coordinator._speed_store import SpeedStore
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.coordinator._waste import WasteLog
 from magnoliaglade.coordinator._worker_registry import (
@@ -219,6 +220,12 @@
             permission=self.permission,
             status_s=timings.status_s,
         )
+        self._speed_store = SpeedStore(
+            clock=clock,
+            journal=self.journal,
+            speeds=self.speeds,
+            links=self.links,
+        )
         self._replaced = asyncio.Event()
         self._is_loaded = False
         self._stored_entries: dict[str, store.Entry] = {}
@@ -245,6 +252,7 @@
                     ("worker list", self._worker_registry.run),
                     ("plans", self._plan_runner.run),
                     ("counts", self._housekeeping.publish_counts),
+                    ("speeds", self._speed_store.run),
                     ("clean-up", self._housekeeping.clean_up),
                     (
                         "clean-up of withdrawals",
@@ -346,13 +354,17 @@
             try:
                 entries, _ = await self.store.list_prefix(keys.PROGRESS_PREFIX)
                 counts = await self.store.get(keys.COUNTS_KEY)
+                speeds = await self.store.get(keys.SPEEDS_KEY)
                 entries_by_key = {e.key: e for e in entries}
-                if counts is not None:
-                    entries_by_key[counts.key] = counts
+                for entry in (counts, speeds):
+                    if entry is not None:
+                        entries_by_key[entry.key] = entry
                 self._stored_entries = entries_by_key
                 self.journal.load(
                     {k: e.revision for k, e in entries_by_key.items()}
                 )
+                if speeds is not None:
+                    self._speed_store.load(speeds.value)
                 await self._intake.reload()
                 self._is_loaded = True
                 break
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -322,6 +322,9 @@
         self.metrics.loop_lag.set(self.monitor.mean_lag_s)
         active = len(current.table.active) if current else 0
         self.metrics.active_jobs.set(active)
+        lasting = current.speeds.lasting_ if current else None
+        self.metrics.speed_spread.set(lasting.spread_ if lasting else 0.0)
+        self.metrics.known_speeds.set(lasting.known_count if lasting else 0)
 
 
 def _connect(listed: fleet.ListedWorker) -> fleet.WorkerClient:
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -69,6 +69,18 @@
             "Jobs that have not ended, on the coordinator.",
             registry=self.registry,
         )
+        self.speed_spread = prometheus_client.Gauge(
+            "magnoliaglade_lasting_speed_spread",
+            "Standard deviation of the logarithm of the workers' lasting "
+            "speeds, on the coordinator; 0 if they count as equal.",
+            registry=self.registry,
+        )
+        self.known_speeds = prometheus_client.Gauge(
+            "magnoliaglade_known_lasting_speeds",
+            "Workers whose lasting speed is known to differ from the average, "
+            "on the coordinator.",
+            registry=self.registry,
+        )
 
     def render(self) -> bytes:
         """Returns all metrics as text."""
--- a/magnoliaglade/jobs/keys.py
+++ b/magnoliaglade/jobs/keys.py
@@ -16,6 +16,7 @@
 WITHDRAWAL_PREFIX = "magnoliaglade/withdrawn/"
 COORDINATOR_KEY = "magnoliaglade/coordinator"
 COUNTS_KEY = "magnoliaglade/counts"
+SPEEDS_KEY = "magnoliaglade/speeds"
 
 
 class IntakeKind(enum.Enum):
--- a/magnoliaglade/placement/_lasting_speeds.py
+++ b/magnoliaglade/placement/_lasting_speeds.py
@@ -95,6 +95,11 @@
         "max_spread": [base.Interval(kind=float, low=0)],
     }
 
+    @property
+    def known_count(self) -> int:
+        """Number of workers whose lasting speed is known."""
+        return sum(s.is_known for s in self.speeds_.values())
+
     def __init__(self, *, max_spread: float = MAX_SPREAD) -> None:
         self.max_spread = max_spread
         self.evidence_: dict[WorkerId, Evidence] = {}
--- a/magnoliaglade/placement/_speeds.py
+++ b/magnoliaglade/placement/_speeds.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from magnoliaglade import base
 from magnoliaglade.placement import _lasting_speeds
@@ -168,6 +168,21 @@
         if known is not None:
             self.lasting_.widen(worker)
 
+    def load(
+        self,
+        evidence: Mapping[WorkerId, _lasting_speeds.Evidence],
+        *,
+        lifetimes: Mapping[WorkerId, Lifetime],
+    ) -> None:
+        """Sets the lasting speeds to those of an earlier estimator.
+
+        Args:
+            evidence: observations by worker, relative to an average worker.
+            lifetimes: the lifetime of each worker that was observed.
+        """
+        self.lifetimes_.update(lifetimes)
+        self.lasting_.load(evidence)
+
     def reset_worker(self, worker: WorkerId) -> None:
         """Removes the estimates of a worker, as for a machine that has left."""
         self.records_.pop(worker, None)
