Tell lasting speeds from slow phases, and keep gangs on one kind of worker

In a pool of equal workers, slow phases of a quarter of the workers at a time looked like different kinds of machines. Speeds below half of the average count as faults and change no lasting estimate. An urgent gang that needs a slow member takes its other members there as well, since fast ones would only wait.

--- a/magnoliaglade/coordinator/tests/test_lasting_speeds.py
+++ b/magnoliaglade/coordinator/tests/test_lasting_speeds.py
@@ -6,6 +6,7 @@
 import msgpack
 import pytest
 
+from magnoliaglade import placement
 from magnoliaglade.coordinator import _speed_store
 from magnoliaglade.coordinator.tests import harness, uneven_load
 from magnoliaglade.jobs import keys
@@ -68,18 +69,26 @@
         assert after > 0.7
         await deployment.stop()
 
-    async def test_equal_pool_has_no_lasting_speeds_and_stores_nothing(self):
+    async def test_equal_pool_is_served_as_without_lasting_speeds(self):
         """Guards against placement that follows noise in a pool of equals."""
-        load = uneven_load.UnevenLoad(
-            speeds=uneven_load.EQUAL_SPEEDS, workers=16, seed=1
-        )
-        current = await load.deployment.elect()
-        for _ in range(10):
-            await load.play(2.0, shapes=SHAPES)
-            assert known_speeds(current, load) == {1.0: [1.0] * 16}
-        assert len(current.speeds.lasting_.evidence_) == 16
-        assert await load.deployment.store.get(keys.SPEEDS_KEY) is None
-        await load.deployment.stop()
+        placements = []
+        for max_spread in (0.0, placement.SpeedEstimator().max_lasting_spread):
+            load = uneven_load.UnevenLoad(
+                speeds=uneven_load.EQUAL_SPEEDS, workers=16, seed=1
+            )
+            deployment = load.deployment
+            current = await deployment.elect()
+            current.speeds.lasting_.max_spread = max_spread
+            for _ in range(10):
+                await load.play(2.0, shapes=SHAPES)
+                assert known_speeds(current, load) == {1.0: [1.0] * 16}
+            assert len(current.speeds.lasting_.evidence_) == 16
+            assert await deployment.store.get(keys.SPEEDS_KEY) is None
+            placements.append(
+                {w: e.starts for w, e in deployment.engines.items()}
+            )
+            await deployment.stop()
+        assert placements[0] == placements[1]
 
 
 class TestShortRuns:
--- a/magnoliaglade/placement/_capacity_tracker.py
+++ b/magnoliaglade/placement/_capacity_tracker.py
@@ -124,7 +124,8 @@
         until_s = self.reserved_until_s.get(worker)
         if until_s is None:
             return False
-        return self.snapshot.now_s + demand.estimate_s > until_s
+        run_time_s = demand.estimate_s / self.candidates[worker].lasting_speed
+        return self.snapshot.now_s + run_time_s > until_s
 
     def _add_allocation(self, allocation: Allocation) -> None:
         if allocation.worker not in self.free:
--- a/magnoliaglade/placement/_lasting_speeds.py
+++ b/magnoliaglade/placement/_lasting_speeds.py
@@ -13,9 +13,12 @@
 from magnoliaglade import base
 from magnoliaglade.types import WorkerId
 
-# Range of the logarithm of one observed speed. Values outside are errors of
-# measurement, such as progress that a checkpoint has restored, or faults.
-MIN_LOG_RATIO = -1.5
+# Logarithm of an observed speed below which a worker counts as faulty: that of
+# half the average speed. Kinds of machines differ less, and slow phases of
+# sound workers, which are a matter of the transient component, go lower.
+MIN_LOG_RATIO = -0.7
+# Largest logarithm of an observed speed; higher ones are errors of measurement,
+# such as progress that a checkpoint has restored.
 MAX_LOG_RATIO = 1.1
 # Largest precision (inverse variance) of the evidence about a worker. It is
 # that of about nine tasks, so that evidence of later tasks still counts.
@@ -35,7 +38,10 @@
 # which workers count as different, and below which they count as equal again.
 FOUND_DEVIATIONS = 4.0
 LOST_DEVIATIONS = 2.0
-# Largest spread, as the standard deviation of the logarithm of the speed.
+# Smallest spread above zero and largest one, as the standard deviation of the
+# logarithm of the speed. Placement does not distinguish speeds that differ by
+# less than 0.2, and many short slow phases look like spreads of up to 0.25.
+MIN_SPREAD = 0.25
 MAX_SPREAD = 0.8
 # Standard deviations by which a lasting speed differs from the average before
 # it counts as known.
@@ -130,22 +136,20 @@
         """
         if precision <= 0.0:
             return
-        log_ratio = min(MAX_LOG_RATIO, max(MIN_LOG_RATIO, log_ratio))
         evidence = self.evidence_.get(worker)
+        if evidence is not None and self._contradicts(evidence, log_ratio):
+            evidence.precision = max(
+                min(evidence.precision, CHANGE_PRECISION),
+                evidence.precision / 2.0,
+            )
+        if log_ratio - self.center_ < MIN_LOG_RATIO:
+            return
+        log_ratio = min(MAX_LOG_RATIO, log_ratio)
         if evidence is None:
             self.evidence_[worker] = Evidence(
                 mean=log_ratio, precision=precision
             )
             return
-        if evidence.precision > CHANGE_PRECISION:
-            # A contradiction has to exceed the spread of single tasks, which
-            # is about that of `MIN_POOL_PRECISION`.
-            variance = evidence.variance + 1.0 / MIN_POOL_PRECISION
-            limit = CHANGE_DEVIATIONS * math.sqrt(variance)
-            if abs(log_ratio - evidence.mean) > limit:
-                evidence.precision = max(
-                    CHANGE_PRECISION, evidence.precision / 2.0
-                )
         total = evidence.precision + precision
         evidence.mean += (log_ratio - evidence.mean) * precision / total
         evidence.precision = min(MAX_PRECISION, total)
@@ -175,7 +179,7 @@
         ]
         self.spread_ = self._fit_spread(pool)
         if not self.spread_:
-            self.speeds_ = {}
+            self.speeds_, self.center_ = {}, 0.0
             return
         self.center_ = statistics.fmean(e.mean for e in pool)
         prior = self.spread_**2
@@ -184,6 +188,13 @@
             for worker, evidence in self.evidence_.items()
         }
 
+    def _contradicts(self, evidence: Evidence, log_ratio: float) -> bool:
+        """Returns whether an observation differs by more than its noise."""
+        # The spread of single tasks is about that of `MIN_POOL_PRECISION`.
+        variance = evidence.variance + 1.0 / MIN_POOL_PRECISION
+        limit = CHANGE_DEVIATIONS * math.sqrt(variance)
+        return abs(log_ratio - evidence.mean) > limit
+
     def _fit_spread(self, pool: list[Evidence]) -> float:
         """Returns the spread of the workers' means beyond their noise.
 
@@ -211,7 +222,8 @@
             # standard deviation of sqrt(2 / n).
             if variance > noise * (1.0 + needed * math.sqrt(2.0 / count)):
                 found = max(found, variance - noise)
-        return min(self.max_spread, math.sqrt(found))
+        spread = min(self.max_spread, math.sqrt(found))
+        return spread if spread >= MIN_SPREAD else 0.0
 
 
 def shifts(
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from magnoliaglade.placement._capacity_tracker import CapacityTracker
 from magnoliaglade.placement._model import Candidate, Demand
@@ -96,6 +96,16 @@
             c.worker,
         )
     )
+    chosen = _take(usable, fitting, count)
+    if demand.is_gang and demand.priority == 0 and len(chosen) == count:
+        chosen = _take(_equally_fast(usable, chosen, demand), fitting, count)
+    return chosen
+
+
+def _take(
+    usable: Iterable[Candidate], fitting: Mapping[WorkerId, int], count: int
+) -> list[WorkerId]:
+    """Returns a worker for each of up to `count` tasks, filling in order."""
     chosen: list[WorkerId] = []
     for candidate in usable:
         taken = min(fitting[candidate.worker], count - len(chosen))
@@ -105,6 +115,28 @@
     return chosen
 
 
+def _equally_fast(
+    usable: Sequence[Candidate], chosen: Sequence[WorkerId], demand: Demand
+) -> list[Candidate]:
+    """Returns the workers on which a gang is as fast as on the chosen ones.
+
+    The lastingly slow ones come first: beside a slow member, fast workers only
+    wait, and are missing to other gangs.
+    """
+    members = [c for c in usable if c.worker in set(chosen)]
+    if any(is_unfit_for_urgent_work(c) for c in members):
+        return list(usable)
+    slowest = speed_level(slowest_speed(members))
+    return sorted(
+        (c for c in usable if speed_level(c.speed) >= slowest),
+        key=lambda c: (
+            c.suspicion,
+            _is_off_data_rack(c, demand),
+            speed_level(c.lasting_speed),
+        ),
+    )
+
+
 def _preference(
     candidate: Candidate, demand: Demand, tracker: CapacityTracker
 ) -> tuple[float, bool, tuple[float, float], int, int]:
@@ -113,13 +145,17 @@
     unused_accelerators = free.accelerators % need if need else 0
     return (
         candidate.suspicion,
-        bool(demand.data_rack) and demand.data_rack not in candidate.labels,
+        _is_off_data_rack(candidate, demand),
         _speed_preference(candidate, demand, now_s=tracker.snapshot.now_s),
         unused_accelerators,
         free.accelerators,
     )
 
 
+def _is_off_data_rack(candidate: Candidate, demand: Demand) -> bool:
+    return bool(demand.data_rack) and demand.data_rack not in candidate.labels
+
+
 def _speed_preference(
     candidate: Candidate, demand: Demand, *, now_s: float
 ) -> tuple[float, float]:
