Describe lasting speeds, and count them as known at 90 percent

The evidence that remains after a new lifetime is reduced, so that its speed counts as unknown as before.

--- a/magnoliaglade/placement/_lasting_speeds.py
+++ b/magnoliaglade/placement/_lasting_speeds.py
@@ -28,8 +28,9 @@
 MIN_POOL_PRECISION = 11.0
 # Fewest workers from which a spread is estimated.
 MIN_POOL = 6
-# Precision that remains after a new lifetime, which may be another machine.
-RESTART_PRECISION = 8.0
+# Precision that remains after a new lifetime, which may be another machine: too
+# little for a speed to count as known.
+RESTART_PRECISION = 4.0
 # Precision that remains while observations contradict the evidence, and the
 # number of standard deviations from which they do.
 CHANGE_PRECISION = 25.0
@@ -44,8 +45,8 @@
 MIN_SPREAD = 0.25
 MAX_SPREAD = 0.8
 # Standard deviations by which a lasting speed differs from the average before
-# it counts as known.
-KNOWN_DEVIATIONS = 1.64
+# it counts as known; an error of the sign then has a probability of 10%.
+KNOWN_DEVIATIONS = 1.28
 # Distance from the median to the lower quartile of a normal distribution, in
 # standard deviations.
 _QUARTILE_DEVIATIONS = 0.674
