--- a/magnoliaglade/placement/__init__.py
+++ b/magnoliaglade/placement/__init__.py
@@ -7,6 +7,11 @@
     WaitEstimator,
 )
 from magnoliaglade.placement._exclusion import excluded_workers
+from magnoliaglade.placement._lasting_speeds import (
+    LastingSpeed,
+    LastingSpeedEstimator,
+    SpeedEvidence,
+)
 from magnoliaglade.placement._load_records import decode_counts, encode_counts
 from magnoliaglade.placement._model import (
     Allocation,
@@ -22,6 +27,7 @@
     UnitId,
 )
 from magnoliaglade.placement._order import order_demands
+from magnoliaglade.placement._packing import slowest_speed, speed_level
 from magnoliaglade.placement._planner import Planner
 from magnoliaglade.placement._preemption import core_seconds
 from magnoliaglade.placement._run_times import (
@@ -52,6 +58,8 @@
     "Demand",
     "Evidence",
     "GangChoice",
+    "LastingSpeed",
+    "LastingSpeedEstimator",
     "Observation",
     "PlacementOption",
     "Plan",
@@ -62,6 +70,7 @@
     "RunTimeObservation",
     "Snapshot",
     "SpeedEstimator",
+    "SpeedEvidence",
     "SpeedObservation",
     "Start",
     "Timeliness",
@@ -77,6 +86,8 @@
     "job_core_s",
     "job_value",
     "order_demands",
+    "slowest_speed",
+    "speed_level",
     "step_core_s",
     "timeliness_of",
 ]
