Weigh the options of every urgent gang where workers differ

Cause: only gangs with a rack constraint weighed a wait or a preemption. In a pool whose workers differ lastingly, other urgent gangs started at once on fast and slow workers together, and were as late as their slow member.

Change: urgent gangs without a rack constraint weigh the same options, less those off the rack, once lasting speeds are known.

The new test fails without the change.

--- a/magnoliaglade/placement/_gang_options.py
+++ b/magnoliaglade/placement/_gang_options.py
@@ -1,4 +1,4 @@
-"""Finds the options that an urgent gang with a rack constraint has."""
+"""Finds the options of an urgent gang to which it matters where it runs."""
 
 import dataclasses
 import functools
@@ -99,6 +99,8 @@
         options += self._later(demand, groups, latest_begin_s)
         if self._may_improve(demand, options, fastest_s, delay_s):
             options += self._preemption(demand, groups, options)
+        if not demand.has_rack:
+            return options
         far_s = fastest_s * self.off_rack_slowdown
         if self._may_improve(demand, options, far_s):
             options += self._off_rack(demand, pool, delay_s)
--- a/magnoliaglade/placement/_gang_placement.py
+++ b/magnoliaglade/placement/_gang_placement.py
@@ -1,4 +1,4 @@
-"""Places urgent gangs with a rack constraint by the options that they have.
+"""Places urgent gangs by the options that racks and speeds offer.
 
 `_gang_options` finds the options, `_rack_choice` weighs them, and this module
 carries the choice out.
@@ -31,7 +31,9 @@
 
 
 class GangPlacer:
-    """Places the urgent gangs with a rack constraint of one plan.
+    """Places the urgent gangs of one plan to which it matters where they run.
+
+    These have a rack constraint, or the workers differ lastingly.
 
     Attributes:
         tracker: capacity during the plan.
--- a/magnoliaglade/placement/_model.py
+++ b/magnoliaglade/placement/_model.py
@@ -183,6 +183,11 @@
     has_begun: bool = False
     value: float = 1.0
 
+    @property
+    def has_rack(self) -> bool:
+        """Whether the tasks are far slower off a rack."""
+        return self.same_rack or bool(self.data_rack)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Claim:
--- a/magnoliaglade/placement/_packing.py
+++ b/magnoliaglade/placement/_packing.py
@@ -165,8 +165,9 @@
     Batch work that may run anywhere would otherwise hold a few accelerators of
     each rack, so that no rack is ever free for a gang that needs one.
     """
-    has_rack = demand.same_rack or bool(demand.data_rack)
-    return tracker.do_racks_matter and demand.priority > 0 and not has_rack
+    return (
+        tracker.do_racks_matter and demand.priority > 0 and not demand.has_rack
+    )
 
 
 def _is_off_data_rack(candidate: Candidate, demand: Demand) -> bool:
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -140,6 +140,9 @@
         )
         self._gang_placer = self._make_gang_placer()
         self._rejections = RejectionCache()
+        self._has_lasting_speeds = any(
+            c.lasting_speed != 1.0 for c in snapshot.candidates
+        )
         self._unfit_workers = frozenset(
             c.worker
             for c in snapshot.candidates
@@ -277,6 +280,18 @@
         self._start(demand, chosen, claim.choice)
         return True
 
+    def _has_options(self, demand: Demand) -> bool:
+        """Returns whether it matters to an urgent gang where it runs.
+
+        That is so with a rack constraint, and in a pool whose workers differ
+        lastingly: a single slow member makes the gang late.
+        """
+        if not _preemptor.may_preempt(demand):
+            return False
+        return demand.has_rack or (
+            demand.priority == 0 and self._has_lasting_speeds
+        )
+
     def _run_s(self, demand: Demand, workers: list[WorkerId]) -> float:
         return _rack_choice.run_time_s(
             demand, [self.tracker.candidates[w] for w in workers]
@@ -285,8 +300,7 @@
     def _place_gang(self, demand: Demand) -> bool:
         """Starts a gang or frees capacity for it; returns whether it did."""
         groups = self._groups(demand)
-        has_rack = demand.same_rack or bool(demand.data_rack)
-        if has_rack and _preemptor.may_preempt(demand):
+        if self._has_options(demand):
             return self._gang_placer.place(
                 demand,
                 _rack_groups.near_data(demand, groups),
@@ -428,7 +442,7 @@
         self, demand: Demand, groups: list[list[Candidate]]
     ) -> bool:
         """Returns whether a gang may run off its rack, where it is slower."""
-        if not (demand.same_rack or demand.data_rack):
+        if not demand.has_rack:
             return False
         if self._cannot_wait(demand):
             return True
@@ -447,6 +461,6 @@
 
 
 def _without_rack(demand: Demand) -> Demand:
-    if not (demand.same_rack or demand.data_rack):
+    if not demand.has_rack:
         return demand
     return dataclasses.replace(demand, same_rack=False, data_rack="")
--- a/magnoliaglade/placement/tests/test_rack_choice.py
+++ b/magnoliaglade/placement/tests/test_rack_choice.py
@@ -1,4 +1,4 @@
-"""Tests of the options of urgent gangs that need one rack."""
+"""Tests of the options of urgent gangs by racks and speeds."""
 
 import dataclasses
 
@@ -336,6 +336,22 @@
         (claim,) = found.claims
         assert {w for _, w in claim.placement} == {"w10", "w11"}
 
+    def test_gang_without_a_rack_is_not_mixed_with_slow_workers(self):
+        """Guards against a gang that is late by its only slow member.
+
+        Batch work that loses little holds one of the fast workers.
+        """
+        pool = [
+            dataclasses.replace(c, lasting_speed=c.speed)
+            for c in builders.racks(2, size=2, speeds=((1.4, 1.4), (0.6, 0.6)))
+        ]
+        batch = builders.allocation("batch", "w01", 8, loss_s=0.1)
+        found = plan(
+            pool, allocations=[batch], demands=[urgent(same_rack=False)]
+        )
+        assert builders.victims_of(found) == {"batch"}
+        assert not found.starts
+
 
 class TestPendingStops:
     """Fast workers are claimed, and slow ones become free meanwhile."""
