Bound the orders in flight, the most urgent ones first

Each start and stop had a task and a connection of its own, and thousands of them kept the event loop busy for longer than the coordinator's lease. Starts and stops now wait in a dispatcher each, with limits over all workers and for each worker; late orders are counted apart, so that unresponsive workers leave room for the others. A queued start stays planned until it is sent. Planned runs are passed on in steps of 200.

--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -270,7 +270,7 @@
 
     def is_busy(self, worker: WorkerId) -> bool:
         """See `LinkOwner.is_busy`."""
-        return bool(self.table.attempts_on(worker))
+        return self.table.has_attempts_on(worker)
 
     async def wait_stored(self, position: int, *, timeout_s: float) -> bool:
         """See `LinkOwner.wait_stored`."""
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -1,24 +1,21 @@
 """Sends orders to workers and handles their outcomes."""
 
-import asyncio
-import dataclasses
-from collections.abc import Callable, Coroutine
-from typing import Any
+import collections
+import functools
+from collections.abc import Callable
 
 from magnoliaglade import clock as clock_lib
-from magnoliaglade import fleet, observability
-from magnoliaglade.coordinator._link import (
-    MAX_ORDER_DELAY_S,
-    RETRY_DELAY_S,
-    WorkerLink,
-)
+from magnoliaglade import fleet
+from magnoliaglade.coordinator import _late_starts
+from magnoliaglade.coordinator._dispatcher import OrderDispatcher, Urgency
+from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._permission import Permission
-from magnoliaglade.fleet import OrderOutcome
+from magnoliaglade.coordinator._starts import StartRequest, StartSender
+from magnoliaglade.coordinator._stops import StopRequest, StopSender
 from magnoliaglade.jobs import (
     Attempt,
     AttemptState,
     JobProgress,
-    LossCause,
     RunOutcome,
     StepKey,
     StopCause,
@@ -26,45 +23,11 @@
 )
 from magnoliaglade.types import Epoch, Lifetime, WorkerId
 
-# Outcomes of a start after which the run certainly does not exist.
-_NOT_STARTED = frozenset(
-    {
-        OrderOutcome.LEASE_EXPIRED,
-        OrderOutcome.NO_CAPACITY,
-        OrderOutcome.INVALID,
-        OrderOutcome.UNHEALTHY,
-    }
-)
-
-
-# Number of times that an unanswered start order is sent. With the timeout of a
-# call, all of them stay well below the time for which a gang waits for its
-# members.
-MAX_START_CALLS = 3
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _UnansweredStart:
-    """A start order without an answer, which may be executed late.
-
-    Attributes:
-        progress: the job.
-        key: the task.
-        attempt: the run.
-        lifetime: lifetime of the worker that was sent the order, or that has
-            last confirmed a stop of the run.
-        expires_at_s: monotonic time from which the order has no effect.
-    """
-
-    progress: JobProgress
-    key: TaskKey
-    attempt: Attempt
-    lifetime: Lifetime
-    expires_at_s: float
+_LEAST_URGENT = Urgency()
 
 
 class OrderSender:
-    """Sends start and stop orders, each in a task of its own.
+    """Queues start and stop orders and sends them within limits.
 
     Attributes:
         links: links by worker.
@@ -92,9 +55,36 @@
         self.permission = permission
         self.on_end = on_end
         self.on_fenced = on_fenced
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._stopping: set[tuple[str, int, WorkerId]] = set()
-        self._unanswered_starts: dict[WorkerId, list[_UnansweredStart]] = {}
+        self._unanswered_starts = _late_starts.UnansweredStarts(clock=clock)
+        self._starts = StartSender(
+            links=links,
+            clock=clock,
+            epoch=epoch,
+            permission=permission,
+            unanswered_starts=self._unanswered_starts,
+            on_end=on_end,
+            on_unsent=self._end_unsent,
+            on_fenced=on_fenced,
+        )
+        self._stops = StopSender(
+            links=links,
+            clock=clock,
+            epoch=epoch,
+            permission=permission,
+            on_fenced=on_fenced,
+        )
+        self._unsent_ends: collections.deque[
+            tuple[JobProgress, TaskKey, int, RunOutcome]
+        ] = collections.deque()
+        self._is_ending_unsent = False
+
+    def in_flight(self) -> dict[str, int]:
+        """Returns the number of orders in flight by kind."""
+        return {d.kind: d.in_flight for d in self._dispatchers()}
+
+    def queued(self) -> dict[str, int]:
+        """Returns the number of orders that wait to be sent by kind."""
+        return {d.kind: d.queued for d in self._dispatchers()}
 
     def send_start(
         self,
@@ -103,19 +93,31 @@
         attempt: Attempt,
         *,
         may_send: fleet.MaySend = fleet.may_always_send,
+        urgency: Urgency = _LEAST_URGENT,
     ) -> None:
         """Orders the start of a planned run that has been stored.
 
+        Until its turn comes the run stays planned. If it ends before that, or
+        its worker leaves, restarts or no longer responds, it is reported as
+        lost.
+
         Args:
             progress: the job.
             key: the task.
             attempt: the planned run.
             may_send: returns whether the order may be sent; called together
                 with the permission to start.
+            urgency: rank among the waiting starts.
         """
-        # From here on the end of the run has to be confirmed by the worker.
-        attempt.state = AttemptState.SENT
-        self._spawn(self._start(progress, key, attempt, may_send))
+        self._starts.submit(
+            StartRequest(
+                progress=progress,
+                key=key,
+                attempt=attempt,
+                may_send=may_send,
+                urgency=urgency,
+            )
+        )
 
     def send_stop(
         self,
@@ -123,19 +125,44 @@
         key: TaskKey,
         attempt: Attempt,
         cause: StopCause,
+        *,
+        urgency: Urgency | None = None,
     ) -> None:
-        """Orders a run to stop; repeats the order until it is answered."""
+        """Orders a run to stop; repeats the order until it is answered.
+
+        Args:
+            progress: the job.
+            key: the task.
+            attempt: the run.
+            cause: why it is stopped.
+            urgency: rank among the waiting stops. By default, the stops of a
+                job that has ended come last, and others have the priority of
+                their job.
+        """
         if attempt.stop_cause is None:
             attempt.stop_cause = cause
+        run_key = _late_starts.run_key(progress, key, attempt)
+        if self._starts.is_queued(run_key):
+            self._starts.end_queued(run_key)
+            return
         if attempt.state is AttemptState.PLANNED:
-            self.on_end(progress, key, attempt.run, RunOutcome.STOPPED)
+            self._end_unsent(progress, key, attempt, RunOutcome.STOPPED)
             return
         attempt.state = AttemptState.STOPPING
-        task = progress.job.task_name(key)
-        stop_key = (task, attempt.run, attempt.worker)
-        if stop_key not in self._stopping:
-            self._stopping.add(stop_key)
-            self._spawn(self._stop(progress, key, attempt, stop_key))
+        if urgency is None:
+            is_ended = cause is StopCause.JOB_ENDED
+            urgency = Urgency() if is_ended else Urgency(progress.job.priority)
+        self._stops.submit(
+            StopRequest(
+                run_key=run_key,
+                urgency=urgency,
+                is_due=functools.partial(
+                    _late_starts.is_current, progress, key, attempt
+                ),
+                on_settled=functools.partial(self._settle, attempt),
+                repeats=True,
+            )
+        )
 
     def stop_step_runs(
         self,
@@ -143,6 +170,8 @@
         key: StepKey,
         index: int | None,
         cause: StopCause,
+        *,
+        urgency: Urgency | None = None,
     ) -> None:
         """Orders one run of a step to stop, or all runs if `index` is None."""
         step = progress.steps.get(key)
@@ -150,307 +179,90 @@
             return
         for number, attempt in list(step.attempts()):
             if index is None or number == index:
-                self.send_stop(progress, TaskKey(*key, number), attempt, cause)
+                self.send_stop(
+                    progress,
+                    TaskKey(*key, number),
+                    attempt,
+                    cause,
+                    urgency=urgency,
+                )
 
     def stop_orphan(self, link: WorkerLink, *, task: str, run: int) -> None:
         """Orders a run to stop that is not expected on its worker."""
-        stop_key = (task, run, link.worker)
-        if stop_key not in self._stopping:
-            self._stopping.add(stop_key)
-            self._spawn(self._stop_orphan(link, task, run, stop_key))
+        self._stops.submit(
+            StopRequest(
+                run_key=(task, run, link.worker),
+                urgency=_LEAST_URGENT,
+                is_due=lambda: True,
+                on_settled=lambda _: None,
+            )
+        )
 
     def void_late_starts(self, link: WorkerLink) -> None:
         """Stops runs that late orders may start on a restarted worker.
 
         A stop makes a late start order void, but only for the lifetime of the
         worker that answers the stop. Called after each report of a worker.
+        Queued starts for an earlier lifetime are reported as lost.
         """
-        now_s = self.clock.now()
-        starts = [
-            s
-            for s in self._unanswered_starts.pop(link.worker, ())
-            if s.expires_at_s > now_s
-        ]
-        if not starts:
-            return
-        self._unanswered_starts[link.worker] = starts
-        for start in starts:
-            stop_key = (
-                start.progress.job.task_name(start.key),
-                start.attempt.run,
-                link.worker,
-            )
-            if (
-                start.lifetime != link.lifetime
-                and stop_key not in self._stopping
-                and not _is_current(start.progress, start.key, start.attempt)
+        self._starts.drop_unsendable(link.worker)
+        for start in self._unanswered_starts.valid_starts(link.worker):
+            if start.lifetime == link.lifetime or _late_starts.is_current(
+                start.progress, start.key, start.attempt
             ):
-                self._stopping.add(stop_key)
-                self._spawn(self._void_start(link, start, stop_key))
-
-    async def close(self) -> None:
-        """Cancels all orders in flight."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _start(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        may_send: fleet.MaySend,
-    ) -> None:
-        link = self.links.get(attempt.worker)
-        if link is None or link.lifetime != attempt.lifetime:
-            self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
-            return
-        lifetime = link.lifetime
-        try:
-            reply = await self._request_start(
-                progress, key, attempt, link, may_send
-            )
-        except fleet.OrderWithheldError:
-            self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
-        except (
-            fleet.WorkerNotReachedError,
-            fleet.WorkerReplacedError,
-        ) as error:
-            link.start_cooldown()
-            self._log_start(progress, key, attempt, repr(error))
-            self._end_lost_run(progress, key, attempt, LossCause.NOT_SENT)
-        except Exception as error:
-            # Unexpected errors are handled like missing answers; otherwise the
-            # run would stay unsettled forever.
-            link.start_cooldown()
-            self._log_start(progress, key, attempt, repr(error))
-            start = self._record_unanswered_start(
-                progress, key, attempt, lifetime=lifetime
+                continue
+            self._stops.submit(
+                StopRequest(
+                    run_key=_late_starts.run_key(
+                        start.progress, start.key, start.attempt
+                    ),
+                    urgency=_LEAST_URGENT,
+                    is_due=lambda: True,
+                    on_settled=functools.partial(setattr, start, "lifetime"),
+                )
             )
-            await self._repeat_start(progress, key, attempt, link, may_send)
-            start.expires_at_s = self.clock.now() + MAX_ORDER_DELAY_S
-            # The next report shows whether the run exists.
-            attempt.call_ended_at_s = self.clock.now()
-        else:
-            self._handle_start_reply(progress, key, attempt, link, reply)
 
-    def _record_unanswered_start(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        *,
-        lifetime: Lifetime,
-    ) -> _UnansweredStart:
-        """Records a start for `void_late_starts`; drops what has expired."""
-        now_s = self.clock.now()
-        # Workers that are gone send no report that would drop their starts.
-        for worker, starts in list(self._unanswered_starts.items()):
-            if all(s.expires_at_s <= now_s for s in starts):
-                del self._unanswered_starts[worker]
-        start = _UnansweredStart(
-            progress=progress,
-            key=key,
-            attempt=attempt,
-            lifetime=lifetime,
-            expires_at_s=now_s + MAX_ORDER_DELAY_S,
-        )
-        self._unanswered_starts.setdefault(attempt.worker, []).append(start)
-        return start
-
-    async def _repeat_start(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        link: WorkerLink,
-        may_send: fleet.MaySend,
-    ) -> None:
-        """Sends an unanswered start order again.
+    def check_queues(self) -> None:
+        """Reports queued starts that cannot be sent; sends what is due.
 
-        Handles workers that leave orders unanswered: the other members of a
-        gang wait for the missing one, and all of them end without it. The order
-        starts the run at most once, since it names the run. Only a confirmation
-        settles the run, as an earlier call may still take effect.
+        Handles workers that leave or no longer respond, and permission that
+        has returned. Called before each plan.
         """
-        for _ in range(MAX_START_CALLS - 1):
-            is_waiting = (
-                _is_current(progress, key, attempt)
-                and attempt.state is AttemptState.SENT
-                and link.lifetime == attempt.lifetime
-            )
-            if not is_waiting:
-                return
-            try:
-                reply = await self._request_start(
-                    progress, key, attempt, link, may_send
-                )
-            except Exception as error:
-                self._log_start(progress, key, attempt, repr(error))
-                continue
-            self._log_start(progress, key, attempt, reply.outcome.value)
-            if reply.outcome in (OrderOutcome.DONE, OrderOutcome.FENCED):
-                self._handle_start_reply(progress, key, attempt, link, reply)
-                return
+        self._starts.check_queue()
+        self._stops.dispatcher.pump()
 
-    async def _request_start(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        link: WorkerLink,
-        may_send: fleet.MaySend,
-    ) -> fleet.OrderReply:
-        async with link.offered_lease() as until_ms:
-            if until_ms is None:
-                raise fleet.WorkerNotReachedError(
-                    "the worker's clock is unknown"
-                )
-            order = fleet.StartOrder(
-                task=progress.job.task_name(key),
-                run=attempt.run,
-                payload=progress.job.spec.payload,
-                lease_until_ms=until_ms,
-                epoch=self.epoch,
-                checkpoint=progress.checkpoint_of(key),
-            )
-            return await link.client.start(
-                order,
-                may_send=lambda: self.permission.may_start() and may_send(),
-            )
-
-    def _handle_start_reply(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        link: WorkerLink,
-        reply: fleet.OrderReply,
-    ) -> None:
-        if reply.outcome is not OrderOutcome.DONE:
-            # Successful starts are covered by the log line of the placement.
-            self._log_start(progress, key, attempt, reply.outcome.value)
-        if reply.outcome is OrderOutcome.FENCED:
-            self.on_fenced(link)
-            return
-        attempt.settled_at_s = self.clock.now()
-        if reply.outcome in _NOT_STARTED:
-            link.start_cooldown()
-            self._end_lost_run(progress, key, attempt, LossCause.REFUSED)
-        elif reply.outcome is OrderOutcome.DONE:
-            progress.confirm_start(attempt)
+    async def close(self) -> None:
+        """Cancels all orders; reports queued starts as lost."""
+        await self._stops.close()
+        await self._starts.close()
 
-    def _end_lost_run(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        cause: LossCause,
-    ) -> None:
-        attempt.loss_cause = cause
-        self.on_end(progress, key, attempt.run, RunOutcome.LOST)
+    def _dispatchers(self) -> tuple[OrderDispatcher, OrderDispatcher]:
+        return (self._starts.dispatcher, self._stops.dispatcher)
 
-    def _log_start(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        attempt: Attempt,
-        outcome: str,
-    ) -> None:
-        observability.log_event(
-            "start",
-            task=progress.job.task_name(key),
-            run=attempt.run,
-            worker=attempt.worker,
-            outcome=outcome,
-            epoch=self.epoch,
-            has_checkpoint=bool(progress.checkpoint_of(key)),
-        )
+    def _settle(self, attempt: Attempt, lifetime: Lifetime) -> None:
+        del lifetime
+        attempt.settled_at_s = self.clock.now()
 
-    async def _stop(
+    def _end_unsent(
         self,
         progress: JobProgress,
         key: TaskKey,
         attempt: Attempt,
-        stop_key: tuple[str, int, WorkerId],
+        outcome: RunOutcome,
     ) -> None:
-        """Repeats a stop order until it is answered or the run has ended."""
-        try:
-            while _is_current(progress, key, attempt):
-                link = self.links.get(attempt.worker)
-                if link and await self._try_stop(link, *stop_key[:2]):
-                    attempt.settled_at_s = self.clock.now()
-                    return
-                await self.clock.sleep(RETRY_DELAY_S)
-        finally:
-            self._stopping.discard(stop_key)
+        """Reports the end of a run that was not sent.
 
-    async def _stop_orphan(
-        self,
-        link: WorkerLink,
-        task: str,
-        run: int,
-        stop_key: tuple[str, int, WorkerId],
-    ) -> None:
-        try:
-            await self._try_stop(link, task, run)
-        finally:
-            self._stopping.discard(stop_key)
-
-    async def _void_start(
-        self,
-        link: WorkerLink,
-        start: _UnansweredStart,
-        stop_key: tuple[str, int, WorkerId],
-    ) -> None:
-        lifetime = link.lifetime
+        The end of a member ends the other members of its gang. They are handled
+        in a loop, since nested calls exceed the recursion limit with large
+        gangs.
+        """
+        attempt.state = AttemptState.STOPPING
+        self._unsent_ends.append((progress, key, attempt.run, outcome))
+        if self._is_ending_unsent:
+            return
+        self._is_ending_unsent = True
         try:
-            if await self._try_stop(link, *stop_key[:2]):
-                start.lifetime = lifetime
+            while self._unsent_ends:
+                self.on_end(*self._unsent_ends.popleft())
         finally:
-            self._stopping.discard(stop_key)
-
-    async def _try_stop(self, link: WorkerLink, task: str, run: int) -> bool:
-        try:
-            reply = await link.client.stop(
-                task=task,
-                run=run,
-                epoch=self.epoch,
-                may_send=self.permission.may_send_orders,
-            )
-        except fleet.OrderWithheldError:
-            return False
-        except Exception as error:
-            # Catches every error: otherwise a run that must end would continue
-            # unnoticed.
-            observability.log_event(
-                "stop",
-                task=task,
-                run=run,
-                worker=link.worker,
-                outcome=repr(error),
-            )
-            return False
-        if reply.outcome is not OrderOutcome.DONE:
-            # The decision to stop and the end of the run have their own lines.
-            observability.log_event(
-                "stop",
-                task=task,
-                run=run,
-                worker=link.worker,
-                outcome=reply.outcome.value,
-            )
-        if reply.outcome is OrderOutcome.FENCED:
-            self.on_fenced(link)
-            return False
-        return reply.outcome is not OrderOutcome.UNHEALTHY
-
-
-def _is_current(progress: JobProgress, key: TaskKey, attempt: Attempt) -> bool:
-    task = progress.task(key)
-    return task is not None and task.attempt is attempt
+            self._is_ending_unsent = False
--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -8,6 +8,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, observability, placement
+from magnoliaglade.coordinator._dispatcher import Urgency
 from magnoliaglade.coordinator._journal import Journal
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
@@ -25,6 +26,10 @@
 # submissions that arrive together.
 MIN_PLAN_PAUSE_S = 0.01
 
+# Planned runs that are passed to the order queues in one step of the event
+# loop.
+MAX_STEP_STARTS = 200
+
 # Duration, in seconds, above which a plan is logged; a plan delays a renewal of
 # the coordinator's lease by as much.
 SLOW_PLAN_S = 0.3
@@ -36,6 +41,7 @@
 
     progress: JobProgress
     members: list[tuple[TaskKey, jobs.Attempt]]
+    urgency: Urgency
 
 
 class PlanRunner:
@@ -124,6 +130,7 @@
             )
 
     def _plan(self) -> None:
+        self.sender.check_queues()
         if not self.permission.may_send_orders():
             return
         self.run_monitor.check()
@@ -144,11 +151,12 @@
         self._add_lost_work(plan.lost_core_s)
         if not plan.is_complete:
             self.wake.set()
-        self._preempt(plan.preemptions)
+        urgencies = _find_urgencies(snapshot, plan)
+        self._preempt(plan.preemptions, urgencies)
         groups = [
             item
             for start in plan.starts
-            for item in self._record_start(start, wall_s)
+            for item in self._record_start(start, wall_s, urgencies[start.unit])
         ]
         if groups:
             start_task = asyncio.ensure_future(
@@ -170,7 +178,7 @@
                 del self._lost_core_s[unit]
 
     def _record_start(
-        self, start: placement.Start, wall_s: float
+        self, start: placement.Start, wall_s: float, urgency: Urgency
     ) -> list[_StartGroup]:
         """Records a start; returns its runs in groups to send together."""
         progress = self.table.jobs[start.unit.job]
@@ -203,9 +211,11 @@
                 3,
             ),
         )
-        if spec.is_gang:
-            return [_StartGroup(progress=progress, members=members)]
-        return [_StartGroup(progress=progress, members=[m]) for m in members]
+        sent_together = [members] if spec.is_gang else [[m] for m in members]
+        return [
+            _StartGroup(progress=progress, members=group, urgency=urgency)
+            for group in sent_together
+        ]
 
     def _describe_place(
         self, spec: jobs.StepSpec, attempt: jobs.Attempt, *, is_spread: bool
@@ -225,7 +235,12 @@
         would wait for them and end with the outcome `broken`.
         """
         await self.journal.wait_stored(position)
+        handled = 0
         for group in groups:
+            handled += len(group.members)
+            if handled > MAX_STEP_STARTS:
+                handled = 0
+                await asyncio.sleep(0)
             current = [
                 (key, attempt)
                 for key, attempt in group.members
@@ -251,6 +266,7 @@
                     may_send=functools.partial(
                         self._is_start_allowed, group.progress, attempt
                     ),
+                    urgency=group.urgency,
                 )
 
     def _is_start_valid(
@@ -277,7 +293,11 @@
             and attempt.state is not jobs.AttemptState.STOPPING
         )
 
-    def _preempt(self, preemptions: Iterable[placement.Preemption]) -> None:
+    def _preempt(
+        self,
+        preemptions: Iterable[placement.Preemption],
+        urgencies: Mapping[placement.UnitId, Urgency],
+    ) -> None:
         """Stops all victims; logs one line for each beneficiary."""
         by_unit: dict[placement.UnitId, list[placement.Preemption]] = {}
         for preemption in preemptions:
@@ -302,4 +322,20 @@
                 victim.step,
                 preemption.index,
                 cause,
+                urgency=urgencies.get(preemption.beneficiary),
             )
+
+
+def _find_urgencies(
+    snapshot: placement.Snapshot, plan: placement.Plan
+) -> dict[placement.UnitId, Urgency]:
+    """Returns the urgency of each unit that a plan starts or stops runs for."""
+    units = {s.unit for s in plan.starts}
+    units.update(p.beneficiary for p in plan.preemptions)
+    if not units:
+        return {}
+    return {
+        d.unit: Urgency(d.priority, d.latest_start_s)
+        for d in snapshot.demands
+        if d.unit in units
+    }
--- a/magnoliaglade/coordinator/_table.py
+++ b/magnoliaglade/coordinator/_table.py
@@ -112,6 +112,10 @@
                 found.append((progress, key, task.attempt))
         return found
 
+    def has_attempts_on(self, worker: WorkerId) -> bool:
+        """Returns whether attempts are, or may be, on a worker."""
+        return bool(self._by_worker.get(worker))
+
     def workers(self) -> list[WorkerId]:
         """Returns the workers that have attempts."""
         return [w for w, keys in self._by_worker.items() if keys]
--- a/magnoliaglade/coordinator/tests/test_planning.py
+++ b/magnoliaglade/coordinator/tests/test_planning.py
@@ -43,6 +43,11 @@
         return True
 
 
+class IdleSender:
+    def check_queues(self):
+        pass
+
+
 class IdleRunMonitor:
     def check(self):
         pass
@@ -67,7 +72,7 @@
         table=EmptyTable(),
         links={},
         journal=None,
-        sender=None,
+        sender=IdleSender(),
         permission=GrantedPermission(),
         clock=clock,
         run_monitor=IdleRunMonitor(),
--- a/magnoliaglade/coordinator/tests/test_unresponsiveness.py
+++ b/magnoliaglade/coordinator/tests/test_unresponsiveness.py
@@ -9,7 +9,7 @@
     OVERDUE_AFTER_S,
     RETRY_DELAY_S,
 )
-from magnoliaglade.coordinator._orders import MAX_START_CALLS
+from magnoliaglade.coordinator._starts import MAX_START_CALLS
 from magnoliaglade.coordinator.tests import harness
 from magnoliaglade.jobs import JobState
 
