--- a/magnoliaglade/coordinator/__init__.py
+++ b/magnoliaglade/coordinator/__init__.py
@@ -3,8 +3,10 @@
 from magnoliaglade.coordinator._coordinator import Coordinator, Timings
 from magnoliaglade.coordinator._election import Election, election_delay_s
 from magnoliaglade.coordinator._journal import CoordinatorLostError, Journal
+from magnoliaglade.coordinator._orders import ORDER_KINDS
 
 __all__ = [
+    "ORDER_KINDS",
     "Coordinator",
     "CoordinatorLostError",
     "Election",
--- a/magnoliaglade/coordinator/_coordinator.py
+++ b/magnoliaglade/coordinator/_coordinator.py
@@ -45,6 +45,15 @@
 
 # Timeout of a watch on submissions, in seconds.
 INTAKE_WATCH_TIMEOUT_S = 1.5
+# Number of runs and queued orders up to which a worker is polled again at once.
+# Each poll reports all runs of its worker and returns at the first end, so that
+# thousands of runs that end in turn cost the square of their number, and the
+# orders that wait to be sent are delayed.
+UNTHROTTLED_RUNS = 1_000
+# Increase of the shortest time between polls of a worker with each further run
+# or order, in seconds, and its limit. A row of a report costs about 40 us.
+POLL_INTERVAL_PER_RUN_S = 100e-6
+MAX_POLL_INTERVAL_S = 1.0
 # Timeout for storing pending changes when the term is cancelled, in seconds.
 FINAL_STORE_TIMEOUT_S = 0.4
 
@@ -272,6 +281,13 @@
         """See `LinkOwner.is_busy`."""
         return self.table.has_attempts_on(worker)
 
+    def min_poll_interval_s(self) -> float:
+        """See `LinkOwner.min_poll_interval_s`."""
+        queued = sum(self.sender.queued().values())
+        pending = self.table.count_attempts() + queued - UNTHROTTLED_RUNS
+        interval_s = pending * POLL_INTERVAL_PER_RUN_S
+        return max(0.0, min(interval_s, MAX_POLL_INTERVAL_S))
+
     async def wait_stored(self, position: int, *, timeout_s: float) -> bool:
         """See `LinkOwner.wait_stored`."""
         return await self.journal.wait_stored(position, timeout_s=timeout_s)
--- a/magnoliaglade/coordinator/_dispatcher.py
+++ b/magnoliaglade/coordinator/_dispatcher.py
@@ -22,7 +22,7 @@
 # Time, in seconds, after which an order without an answer counts as late. It
 # then no longer counts towards the limit on prompt orders, so that workers that
 # do not respond leave room for the others until their calls time out.
-LATE_AFTER_S = 0.1
+LATE_AFTER_S = 0.2
 # Entries of the queue that are handled in one step of the event loop, at some
 # microseconds for a dropped one.
 MAX_STEP_ORDERS = 200
@@ -38,19 +38,21 @@
     """Limits on the orders in flight of one kind.
 
     Attributes:
-        prompt: orders that are not late yet. They are bounded by what the loop
-            may start in one step: 64 new connections take about 20 ms on a
-            full core.
+        prompt: orders that are not late yet. With 64 of them, answers arrive in
+            batches for which the loop waits idle: 4,000 stops took 4 s in
+            place of 2.5 s. More connections that open in one step delay the
+            renewal of the coordinator's lease.
         late: late orders. With `prompt` they bound the connections, 320 of one
             kind; the smallest instance has 1,638 descriptors.
         per_worker: orders to one worker while none is late; a worker has eight
             accelerators and thus at most eight members of an urgent gang.
-        per_worker_strained: the same while any order is late, so that half of
-            the workers can be unresponsive without filling `late`.
+        per_worker_strained: the same while any order is late, and at most the
+            worker's share of `late`. Half of the workers thus hold `prompt`
+            orders, sent before the first one was late, and half of `late`.
     """
 
-    prompt: int = 64
-    late: int = 256
+    prompt: int = 128
+    late: int = 192
     per_worker: int = 8
     per_worker_strained: int = 4
 
@@ -271,9 +273,7 @@
         if worker in self._unanswering or self._late_workers[worker]:
             limit = 1
         elif self._late:
-            # Half of the workers may leave all of their orders unanswered.
-            spare = self.limits.late - self.limits.prompt
-            share = 2 * spare // max(1, self.count_workers())
+            share = self.limits.late // max(1, self.count_workers())
             limit = max(1, min(self.limits.per_worker_strained, share))
         return self._in_flight[worker] < limit
 
--- a/magnoliaglade/coordinator/_link.py
+++ b/magnoliaglade/coordinator/_link.py
@@ -50,6 +50,9 @@
     async def wait_stored(self, position: int, *, timeout_s: float) -> bool:
         """Waits for a journal position; returns whether it is stored."""
 
+    def min_poll_interval_s(self) -> float:
+        """Returns the shortest time from one poll of a worker to the next."""
+
     def handle_fencing(self, link: "WorkerLink") -> None:
         """Handles a worker that has received the epoch of a successor."""
 
@@ -200,8 +203,10 @@
 
     async def _run(self) -> None:
         while True:
+            started_at_s = self.clock.now()
             try:
                 await self._poll()
+                await self._pause(started_at_s)
             except fleet.WorkerFencedError:
                 self.owner.handle_fencing(self)
                 await self.clock.sleep(RETRY_DELAY_S)
@@ -211,6 +216,13 @@
             except fleet.FleetError:
                 await self.clock.sleep(RETRY_DELAY_S)
 
+    async def _pause(self, started_at_s: float) -> None:
+        """Waits until the shortest time since the start of a poll is over."""
+        until_s = started_at_s + self.owner.min_poll_interval_s()
+        remaining_s = until_s - self.clock.now()
+        if remaining_s > 0:
+            await self.clock.sleep(remaining_s)
+
     async def _close_stale_clients(self) -> None:
         while self._stale_clients:
             await self._stale_clients.pop().close()
--- a/magnoliaglade/coordinator/_orders.py
+++ b/magnoliaglade/coordinator/_orders.py
@@ -23,6 +23,9 @@
 )
 from magnoliaglade.types import Epoch, Lifetime, WorkerId
 
+# Kinds of orders; each has a queue and limits of its own.
+ORDER_KINDS = ("start", "stop")
+
 _LEAST_URGENT = Urgency()
 
 
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -92,6 +92,7 @@
             progress.save_checkpoint(item.key, end.checkpoint)
             self._record_end(progress, item.key, attempt.worker, end.outcome)
             self.on_end(progress, item.key, item.run, end.outcome)
+        run_times: list[RunTimeObservation] = []
         for item, status in result.present:
             _, progress, attempt = expected[id(item)]
             progress.confirm_start(attempt)
@@ -100,9 +101,14 @@
                 attempt, percent=status.percent, reported_ms=report.clock_ms
             )
             self._update_running(attempt, status.percent, report)
-            self._observe_progress(
-                progress, item.key, attempt, interval_run_time_s
-            )
+            # A run that is being stopped tells nothing about its worker.
+            if attempt.state is not AttemptState.STOPPING:
+                run_times += self._observe_progress(
+                    progress, item.key, attempt, interval_run_time_s
+                )
+        # Applied together, as the first prediction after each of them fits the
+        # queue again.
+        self.run_times.partial_fit(run_times)
         for item in result.lost:
             _, progress, attempt = expected[id(item)]
             attempt.loss_cause = LossCause.MISSING
@@ -213,8 +219,8 @@
         key: TaskKey,
         attempt: jobs.Attempt,
         interval_run_time_s: float | None,
-    ) -> None:
-        """Updates the speed of a worker and the run time of a queue.
+    ) -> list[RunTimeObservation]:
+        """Updates the speed of a worker; returns the observed run time.
 
         Args:
             progress: the job.
@@ -226,7 +232,7 @@
         step_key = jobs.StepKey(key.occurrence, key.step)
         spec = progress.spec_of(step_key)
         if not _is_comparable(spec, attempt):
-            return
+            return []
         queue = progress.job.queue
         unit = UnitId(progress.job.job, step_key)
         if interval_run_time_s is not None:
@@ -244,8 +250,10 @@
             )
             self.speeds.partial_fit([speed])
         run_time_s = attempt.extrapolated_run_time_s
-        if run_time_s is not None:
-            run_time = RunTimeObservation(
+        if run_time_s is None:
+            return []
+        return [
+            RunTimeObservation(
                 queue=queue,
                 unit=unit,
                 index=key.index,
@@ -253,7 +261,7 @@
                 declared_s=spec.estimate_s,
                 run_time_s=run_time_s,
             )
-            self.run_times.partial_fit([run_time])
+        ]
 
     def _settle_by_stop(
         self, progress: JobProgress, key: TaskKey, requested_at_s: float
--- a/magnoliaglade/coordinator/_run_monitor.py
+++ b/magnoliaglade/coordinator/_run_monitor.py
@@ -10,6 +10,7 @@
 from magnoliaglade.coordinator._table import JobTable
 from magnoliaglade.jobs import (
     Attempt,
+    AttemptState,
     JobProgress,
     StepKey,
     StepProgress,
@@ -80,6 +81,8 @@
             return
         groups = [attempts] if spec.is_gang else [[a] for a in attempts]
         for group in groups:
+            if not any(self._may_have_to_stop(a) for _, a in group):
+                continue
             index = None if spec.is_gang else group[0][0]
             runs = [attempt for _, attempt in group]
             stalled = _watchdog.stalled_runs(spec, runs)
@@ -100,6 +103,15 @@
                     progress, key, index, departing, StopCause.WORKER_LEAVES
                 )
 
+    def _may_have_to_stop(self, attempt: Attempt) -> bool:
+        """Returns False for most runs, at a low cost for thousands of them."""
+        if attempt.state is not AttemptState.RUNNING:
+            return False
+        link = self.links.get(attempt.worker)
+        return attempt.no_progress_s > _watchdog.STALL_GRACE_S or (
+            link is not None and link.leaves_at_s != float("inf")
+        )
+
     def _must_stop(
         self, spec: StepSpec, attempt: Attempt, run_time_s: float, now_s: float
     ) -> bool:
--- a/magnoliaglade/coordinator/_snapshot.py
+++ b/magnoliaglade/coordinator/_snapshot.py
@@ -95,6 +95,8 @@
     ) -> Snapshot:
         """Returns the snapshot; its times are wall-clock times.
 
+        A snapshot without demands has no allocations.
+
         Args:
             links: links to all workers.
             wall_s: wall-clock time in seconds.
@@ -105,21 +107,28 @@
         """
         protected = self._protected_jobs()
         candidates = tuple(self._make_candidate(x, now_s) for x in links)
-        allocations: list[Allocation] = []
-        demands: list[Demand] = []
-        for progress in self.table.active_jobs():
-            plannable = _PlannableJob(
+        plannable_jobs = [
+            _PlannableJob(
                 progress=progress,
                 run_times_s=self.run_times.step_run_times_s(progress.job),
                 is_protected=progress.job.job in protected,
             )
-            allocations.extend(self._iter_allocations(plannable, wall_s))
-            if not progress.state.is_final:
-                demands.extend(
-                    self._demands_of(
-                        plannable, candidates, wall_s=wall_s, now_s=now_s
-                    )
-                )
+            for progress in self.table.active_jobs()
+        ]
+        demands = [
+            demand
+            for plannable in plannable_jobs
+            if not plannable.progress.state.is_final
+            for demand in self._demands_of(
+                plannable, candidates, wall_s=wall_s, now_s=now_s
+            )
+        ]
+        allocations: list[Allocation] = []
+        # Without demands nothing is planned, and with thousands of runs their
+        # allocations take most of the time.
+        if demands:
+            for plannable in plannable_jobs:
+                allocations.extend(self._iter_allocations(plannable, wall_s))
         return Snapshot(
             now_s=wall_s,
             candidates=candidates,
--- a/magnoliaglade/coordinator/_table.py
+++ b/magnoliaglade/coordinator/_table.py
@@ -116,6 +116,10 @@
         """Returns whether attempts are, or may be, on a worker."""
         return bool(self._by_worker.get(worker))
 
+    def count_attempts(self) -> int:
+        """Returns the number of attempts on all workers."""
+        return sum(len(keys) for keys in self._by_worker.values())
+
     def workers(self) -> list[WorkerId]:
         """Returns the workers that have attempts."""
         return [w for w, keys in self._by_worker.items() if keys]
--- a/magnoliaglade/http/_client.py
+++ b/magnoliaglade/http/_client.py
@@ -17,6 +17,13 @@
 # shorter than the server's keep-alive time, so that the client closes first.
 _IDLE_TIMEOUT_S = 30.0
 _MAX_IDLE_CONNECTIONS = 16
+# Idle connections that are kept for `_IDLE_TIMEOUT_S`. Further ones serve a
+# burst of calls, and are closed by the first call that ends
+# `_SURPLUS_IDLE_TIMEOUT_S` after their last use. The clients of hundreds of
+# workers would otherwise hold more connections than the smallest instance has
+# descriptors.
+_KEPT_IDLE_CONNECTIONS = 2
+_SURPLUS_IDLE_TIMEOUT_S = 2.0
 # Upper bound in seconds of a reply's duration if its parts extend the timeout.
 MAX_REPLY_DURATION_S = 20.0
 
@@ -191,6 +198,17 @@
             self._idle_connections.append((time.monotonic(), connection))
         else:
             connection.close()
+        self._close_surplus_connections()
+
+    def _close_surplus_connections(self) -> None:
+        # The connection that was used last is reused first, so the ones at the
+        # front have been idle for longest.
+        used_before_s = time.monotonic() - _SURPLUS_IDLE_TIMEOUT_S
+        while (
+            len(self._idle_connections) > _KEPT_IDLE_CONNECTIONS
+            and self._idle_connections[0][0] < used_before_s
+        ):
+            self._idle_connections.pop(0)[1].close()
 
 
 def _timeout_extender(
--- a/magnoliaglade/http/tests/test_http.py
+++ b/magnoliaglade/http/tests/test_http.py
@@ -5,6 +5,7 @@
 import pytest
 
 from magnoliaglade import http
+from magnoliaglade.http import _client
 
 
 async def serve(handle):
@@ -121,6 +122,24 @@
             writer.transport.abort()
 
 
+class TestIdleConnections:
+    async def test_surplus_is_closed_after_a_burst(self, monkeypatch):
+        """Guards against descriptors that run out with hundreds of clients."""
+        monkeypatch.setattr(_client, "_SURPLUS_IDLE_TIMEOUT_S", 0.0)
+
+        async def handle(request):
+            await http.read_body(request, max_bytes=10)
+            return http.json_response(200, "")
+
+        server, client = await serve(handle)
+        calls = [client.call("POST", "/x", body=b"") for _ in range(8)]
+        await asyncio.gather(*calls)
+        kept = len(client._idle_connections)
+        await client.stop()
+        await server.stop()
+        assert kept == _client._KEPT_IDLE_CONNECTIONS
+
+
 class TestExtendedTimeout:
     """Each part of a long reply restarts the timeout.
 
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -322,6 +322,18 @@
         self.metrics.loop_lag.set(self.monitor.mean_lag_s)
         active = len(current.table.active) if current else 0
         self.metrics.active_jobs.set(active)
+        for gauge, counts in (
+            (
+                self.metrics.orders_in_flight,
+                current.sender.in_flight() if current else {},
+            ),
+            (
+                self.metrics.orders_queued,
+                current.sender.queued() if current else {},
+            ),
+        ):
+            for kind in coordinator.ORDER_KINDS:
+                gauge.labels(kind).set(counts.get(kind, 0))
 
 
 def _connect(listed: fleet.ListedWorker) -> fleet.WorkerClient:
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -70,6 +70,19 @@
             registry=self.registry,
         )
 
+        self.orders_in_flight = prometheus_client.Gauge(
+            "magnoliaglade_orders_in_flight",
+            "Orders that are sent and not answered, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.orders_queued = prometheus_client.Gauge(
+            "magnoliaglade_orders_queued",
+            "Orders that wait to be sent, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Returns all metrics as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/magnoliaglade/placement/_run_times.py
+++ b/magnoliaglade/placement/_run_times.py
@@ -60,6 +60,9 @@
     observed: dict[int, tuple[WorkerId, float]] = dataclasses.field(
         default_factory=dict
     )
+    sums: dict[WorkerId, tuple[float, int]] = dataclasses.field(
+        default_factory=dict
+    )
     total: float = 0.0
 
     @property
@@ -68,14 +71,28 @@
 
     def add(self, index: int, worker: WorkerId, observed_log: float) -> None:
         """Adds the observation of a task; replaces an earlier one."""
-        _, replaced_log = self.observed.get(index, (worker, 0.0))
-        self.total += observed_log - replaced_log
+        replaced = self.observed.get(index)
+        if replaced is not None:
+            self._add_to_sums(*replaced, sign=-1)
+        self._add_to_sums(worker, observed_log, sign=1)
         self.observed[index] = (worker, observed_log)
 
     def mean_log_elsewhere(self, worker: WorkerId) -> float | None:
-        """Returns the mean of the tasks on other workers; None without any."""
-        found = [log for w, log in self.observed.values() if w != worker]
-        return sum(found) / len(found) if found else None
+        """Returns the mean of the tasks on other workers; None without any.
+
+        It is computed from sums: a report of a worker asks once for each task,
+        and a step has up to thousands of tasks.
+        """
+        own_total, own_count = self.sums.get(worker, (0.0, 0))
+        count = len(self.observed) - own_count
+        return (self.total - own_total) / count if count else None
+
+    def _add_to_sums(
+        self, worker: WorkerId, observed_log: float, *, sign: int
+    ) -> None:
+        total, count = self.sums.get(worker, (0.0, 0))
+        self.sums[worker] = (total + sign * observed_log, count + sign)
+        self.total += sign * observed_log
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
