Test the order of queued orders and silent halves of the pool

Adds tests of the poll interval, of sums of run times after a task has moved, and of the gauges. The test of silent workers fails if late orders keep their slots or if a silent worker gets more than one order (both tried).

--- a/magnoliaglade/coordinator/tests/test_bounded_orders.py
+++ b/magnoliaglade/coordinator/tests/test_bounded_orders.py
@@ -184,8 +184,8 @@
             on_fenced=lambda _: None,
         )
 
-    def plan_runs(self, name, count, *, priority=1, **step_fields):
-        """Returns a job and its planned runs, dealt out over the workers."""
+    def plan_runs(self, name, count, *, on=None, priority=1, **step_fields):
+        """Returns a job and its planned runs, dealt out over workers."""
         progress = JobProgress(
             job=harness.make_job(
                 name,
@@ -193,7 +193,7 @@
                 priority=priority,
             )
         )
-        workers = list(self.links)
+        workers = on or list(self.links)
         placed = [
             (i, w, self.links[w].lifetime)
             for i in range(count)
@@ -210,7 +210,7 @@
         for key, attempt in runs:
             self.sender.send_stop(progress, key, attempt, cause, **fields)
 
-    async def settle(self, condition, iterations=100_000):
+    async def settle(self, condition, iterations=20_000):
         for _ in range(iterations):
             if condition():
                 return
@@ -348,19 +348,27 @@
         # Guards against unanswered orders that use up the limit: the orders of
         # the other workers would wait for one call timeout after the other.
         pool = Pool(workers=workers)
-        for link in list(pool.links.values())[::2]:
-            link.client.is_silent = True
-        progress, runs = pool.plan_runs("a", 20 * workers)
+        names = list(pool.links)
+        silent, others = names[::2], names[1::2]
+        for worker in silent:
+            pool.links[worker].client.is_silent = True
+        # The orders of the silent workers come first.
+        first, silent_runs = pool.plan_runs("a", 20 * workers, on=silent)
+        second, runs = pool.plan_runs("b", 20 * workers, on=others)
         if kind == "start":
-            pool.start(progress, runs)
+            pool.start(first, silent_runs, urgency=URGENT)
+            pool.start(second, runs, urgency=BATCH)
         else:
-            for _, attempt in runs:
+            for _, attempt in [*silent_runs, *runs]:
                 attempt.state = AttemptState.RUNNING
-            pool.stop(progress, runs)
-        await pool.clock.advance(CALL_TIMEOUT_S)
-        silent = {w for w, x in pool.links.items() if x.client.is_silent}
-        answered = {k for k, a in runs if a.settled_at_s is not None}
-        assert answered == {k for k, a in runs if a.worker not in silent}
+            cause = StopCause.PRIORITY
+            pool.stop(first, silent_runs, cause, urgency=URGENT)
+            pool.stop(second, runs, cause, urgency=BATCH)
+        # No unanswered call has ended by then.
+        await pool.clock.advance(CALL_TIMEOUT_S - 0.1)
+        await pool.settle(
+            lambda: all(a.settled_at_s is not None for _, a in runs)
+        )
         assert pool.most_in_flight <= MAX_IN_FLIGHT
         await pool.sender.close()
 
--- a/magnoliaglade/coordinator/tests/test_coordinator.py
+++ b/magnoliaglade/coordinator/tests/test_coordinator.py
@@ -3,7 +3,7 @@
 import pytest
 
 from magnoliaglade.coordinator.tests import harness
-from magnoliaglade.jobs import JobState, keys
+from magnoliaglade.jobs import JobState, StepKey, keys
 
 
 @pytest.fixture
@@ -464,3 +464,27 @@
         await deployment.clock.advance(12.0)
         assert len(deployment.starts(job)) == 1
         assert await deployment.state(job) is JobState.COMPLETED
+
+
+class TestPollInterval:
+    @pytest.mark.parametrize(
+        ("runs", "interval_s"), [(1_000, 0.0), (3_000, 0.2), (20_000, 1.0)]
+    )
+    async def test_interval_grows_with_the_runs(self, runs, interval_s):
+        # Guards against a loop that is busy with reports of thousands of runs,
+        # and against later reports on pools with fewer.
+        deployment = harness.Deployment(workers=1)
+        current = await deployment.elect()
+        await deployment.clock.advance(0.5)
+        progress = current.table.add(
+            harness.make_job("a", harness.make_step(count=runs))
+        )
+        (link,) = current.links.values()
+        current.table.add_planned_runs(
+            progress,
+            StepKey(0, 0),
+            [(i, link.worker, link.lifetime) for i in range(runs)],
+            now_s=0.0,
+        )
+        assert current.min_poll_interval_s() == pytest.approx(interval_s)
+        await deployment.stop()
--- a/magnoliaglade/placement/tests/test_run_times.py
+++ b/magnoliaglade/placement/tests/test_run_times.py
@@ -86,6 +86,34 @@
             assert math.isfinite(run_times.run_time_s(QUEUE, declared_s))
 
 
+class TestSiblings:
+    def test_task_that_has_moved_counts_on_its_last_worker(self):
+        # Guards against sums by worker that keep an observation that a later
+        # one has replaced.
+        run_times = placement.RunTimeEstimator()
+        unit = placement.UnitId(JobId("a"), StepKey(0, 0))
+        for index, worker, run_time_s in (
+            (0, "w0", 9.0),
+            (1, "w1", 4.0),
+            (0, "w1", 4.0),
+            (2, "w2", 16.0),
+        ):
+            observation = placement.RunTimeObservation(
+                queue=QUEUE,
+                unit=unit,
+                index=index,
+                worker=WorkerId(worker),
+                declared_s=5.0,
+                run_time_s=run_time_s,
+            )
+            run_times.partial_fit([observation])
+        found = [
+            run_times.sibling_run_time_s(QUEUE, unit, WorkerId(w))
+            for w in ("w0", "w1", "w2")
+        ]
+        assert found == pytest.approx([4.0 ** (4 / 3), 16.0, 4.0])
+
+
 class TestMisdeclaredBurst:
     """Urgent gangs on a full pool, declared far too short or too long."""
 
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -184,6 +184,10 @@
         client = http.HttpClient(url=url)
         metrics = await client.call("GET", "/metrics")
         assert b"magnoliaglade_call_latency_seconds" in metrics.body
+        for name in ("orders_in_flight", "orders_queued"):
+            for kind in ("start", "stop"):
+                line = f'magnoliaglade_{name}{{kind="{kind}"}}'
+                assert line.encode() in metrics.body
         state = await client.call("GET", "/state")
         assert state.json()["instance"] == "e1"
         await client.stop()
