--- a/magnoliaglade/http/tests/test_http.py
+++ b/magnoliaglade/http/tests/test_http.py
@@ -5,7 +5,7 @@
 import pytest
 
 from magnoliaglade import http
-from magnoliaglade.http import _client
+from magnoliaglade.http import _client, _connection
 
 
 async def serve(handle):
@@ -140,6 +140,60 @@
         assert kept == _client._KEPT_IDLE_CONNECTIONS
 
 
+class TestReplies:
+    """Guards against replies of one call that a later one reads, or that end
+    too early."""
+
+    @pytest.mark.parametrize(
+        ("parts", "expected", "is_reused"),
+        [
+            ([b"content-length: 3\r\n\r\na", b"bc"], b"abc", True),
+            (
+                [
+                    b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+                    b"\r\n",
+                ],
+                b"abc",
+                True,
+            ),
+            ([b"connection: close\r\ncontent-length: 1\r\n\r\na"], b"a", False),
+            ([b"content-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n"], b"a", False),
+            ([b"\r\na", b"bc"], b"abc", False),
+            ([b"content-length: 5\r\n\r\nabc"], None, False),
+            ([b"content-length: -1\r\n\r\n"], None, False),
+            ([b"content-le"], None, False),
+        ],
+    )
+    async def test_reply_is_complete(self, parts, expected, is_reused):
+        is_closed = asyncio.Event()
+
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n")
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0)
+            if is_reused:
+                await reader.read()
+            writer.close()
+            is_closed.set()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await _connection.connect(f"http://127.0.0.1:{port}")
+        if expected is None:
+            with pytest.raises(_connection.ConnectionBrokenError):
+                await connection.exchange("GET", "/x", [], b"")
+        else:
+            reply = await connection.exchange("GET", "/x", [], b"")
+            assert reply == (200, expected)
+        assert connection.is_reusable == is_reused
+        connection.close()
+        server.close()
+        await is_closed.wait()
+
+
 class TestExtendedTimeout:
     """Each part of a long reply restarts the timeout.
 
