--- a/magnoliaglade/coordinator/_planning.py
+++ b/magnoliaglade/coordinator/_planning.py
@@ -9,6 +9,7 @@
 
 from magnoliaglade import clock as clock_lib
 from magnoliaglade import jobs, observability, placement
+from magnoliaglade.coordinator._dispatcher import Urgency
 from magnoliaglade.coordinator._journal import Journal
 from magnoliaglade.coordinator._link import WorkerLink
 from magnoliaglade.coordinator._orders import OrderSender
@@ -28,6 +29,10 @@
 
 # Shortest time between two log lines on deferred demands, in seconds.
 DEFERRAL_LOG_INTERVAL_S = 1.0
+# Planned runs that are passed to the order queues in one step of the event
+# loop.
+MAX_STEP_STARTS = 200
+
 # Duration, in seconds, above which a plan is logged; a plan delays a renewal of
 # the coordinator's lease by as much.
 SLOW_PLAN_S = 0.3
@@ -39,6 +44,7 @@
 
     progress: JobProgress
     members: list[tuple[TaskKey, jobs.Attempt]]
+    urgency: Urgency
 
 
 class PlanRunner:
@@ -142,6 +148,7 @@
             )
 
     def _plan(self) -> None:
+        self.sender.check_queues()
         self.snapshot = None
         if not self.permission.may_send_orders():
             return
@@ -166,11 +173,12 @@
         self._add_lost_work(plan.lost_core_s)
         if not plan.is_complete:
             self.wake.set()
-        self._preempt(plan.preemptions)
+        urgencies = _find_urgencies(snapshot, plan)
+        self._preempt(plan.preemptions, urgencies)
         groups = [
             item
             for start in plan.starts
-            for item in self._record_start(start, wall_s)
+            for item in self._record_start(start, wall_s, urgencies[start.unit])
         ]
         if groups:
             start_task = asyncio.ensure_future(
@@ -206,7 +214,7 @@
                 del self._lost_core_s[unit]
 
     def _record_start(
-        self, start: placement.Start, wall_s: float
+        self, start: placement.Start, wall_s: float, urgency: Urgency
     ) -> list[_StartGroup]:
         """Records a start; returns its runs in groups to send together."""
         progress = self.table.jobs[start.unit.job]
@@ -242,9 +250,11 @@
         )
         if start.choice:
             self.observe_gang(start.choice.option)
-        if spec.is_gang:
-            return [_StartGroup(progress=progress, members=members)]
-        return [_StartGroup(progress=progress, members=[m]) for m in members]
+        sent_together = [members] if spec.is_gang else [[m] for m in members]
+        return [
+            _StartGroup(progress=progress, members=group, urgency=urgency)
+            for group in sent_together
+        ]
 
     def _describe_place(
         self, spec: jobs.StepSpec, attempt: jobs.Attempt, *, is_spread: bool
@@ -264,7 +274,12 @@
         would wait for them and end with the outcome `broken`.
         """
         await self.journal.wait_stored(position)
+        handled = 0
         for group in groups:
+            handled += len(group.members)
+            if handled > MAX_STEP_STARTS:
+                handled = 0
+                await asyncio.sleep(0)
             current = [
                 (key, attempt)
                 for key, attempt in group.members
@@ -290,6 +305,7 @@
                     may_send=functools.partial(
                         self._is_start_allowed, group.progress, attempt
                     ),
+                    urgency=group.urgency,
                 )
 
     def _is_start_valid(
@@ -316,7 +332,11 @@
             and attempt.state is not jobs.AttemptState.STOPPING
         )
 
-    def _preempt(self, preemptions: Iterable[placement.Preemption]) -> None:
+    def _preempt(
+        self,
+        preemptions: Iterable[placement.Preemption],
+        urgencies: Mapping[placement.UnitId, Urgency],
+    ) -> None:
         """Stops all victims; logs one line for each beneficiary."""
         by_unit: dict[placement.UnitId, list[placement.Preemption]] = {}
         for preemption in preemptions:
@@ -341,6 +361,7 @@
                 victim.step,
                 preemption.index,
                 cause,
+                urgency=urgencies.get(preemption.beneficiary),
             )
 
 
@@ -353,3 +374,18 @@
         "option_reason": choice.reason,
         "option_values": [[o.value, value] for o, value in choice.values],
     }
+
+
+def _find_urgencies(
+    snapshot: placement.Snapshot, plan: placement.Plan
+) -> dict[placement.UnitId, Urgency]:
+    """Returns the urgency of each unit that a plan starts or stops runs for."""
+    units = {s.unit for s in plan.starts}
+    units.update(p.beneficiary for p in plan.preemptions)
+    if not units:
+        return {}
+    return {
+        d.unit: Urgency(d.priority, d.latest_start_s)
+        for d in snapshot.demands
+        if d.unit in units
+    }
--- a/magnoliaglade/coordinator/_reports.py
+++ b/magnoliaglade/coordinator/_reports.py
@@ -102,22 +102,16 @@
             progress.save_checkpoint(item.key, end.checkpoint)
             self._record_end(progress, item.key, attempt.worker, end.outcome)
             self.on_end(progress, item.key, item.run, end.outcome)
+        run_times: list[RunTimeObservation] = []
         for item, status in result.present:
             _, progress, attempt = expected[id(item)]
-            progress.confirm_start(attempt)
             progress.save_checkpoint(item.key, status.checkpoint)
-            interval_run_time_s = _watchdog.interval_run_time_s(
-                attempt, percent=status.percent, reported_ms=report.clock_ms
-            )
-            progressed = status.percent - attempt.percent
-            self._update_running(attempt, status.percent, report)
-            self._observe_progress(
-                progress,
-                item.key,
-                attempt,
-                interval_run_time_s,
-                progressed=progressed,
+            run_times += self._apply_progress(
+                progress, item.key, attempt, status.percent, report
             )
+        # Applied together, as the first prediction after each of them fits the
+        # queue again.
+        self.run_times.partial_fit(run_times)
         for item in result.lost:
             _, progress, attempt = expected[id(item)]
             attempt.loss_cause = LossCause.MISSING
@@ -222,6 +216,28 @@
             attempt, percent=percent, reported_ms=report.clock_ms
         )
 
+    def _apply_progress(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        attempt: jobs.Attempt,
+        percent: float,
+        report: WorkerReport,
+    ) -> list[RunTimeObservation]:
+        """Applies the progress of a run; returns the observed run time."""
+        progress.confirm_start(attempt)
+        interval_run_time_s = _watchdog.interval_run_time_s(
+            attempt, percent=percent, reported_ms=report.clock_ms
+        )
+        progressed = percent - attempt.percent
+        self._update_running(attempt, percent, report)
+        if attempt.state is AttemptState.STOPPING:
+            # A run that is being stopped tells nothing about its worker.
+            return []
+        return self._observe_progress(
+            progress, key, attempt, interval_run_time_s, progressed=progressed
+        )
+
     def _observe_progress(
         self,
         progress: JobProgress,
@@ -230,8 +246,8 @@
         interval_run_time_s: float | None,
         *,
         progressed: float,
-    ) -> None:
-        """Updates the speed of a worker and the run time of a queue.
+    ) -> list[RunTimeObservation]:
+        """Updates the speed of a worker; returns the observed run time.
 
         Args:
             progress: the job.
@@ -244,7 +260,7 @@
         step_key = jobs.StepKey(key.occurrence, key.step)
         spec = progress.spec_of(step_key)
         if not _is_comparable(spec, attempt):
-            return
+            return []
         queue = progress.job.queue
         unit = UnitId(progress.job.job, step_key)
         if interval_run_time_s is not None:
@@ -257,8 +273,10 @@
                 is_current=True,
             )
         run_time_s = attempt.extrapolated_run_time_s
-        if run_time_s is not None:
-            run_time = RunTimeObservation(
+        if run_time_s is None:
+            return []
+        return [
+            RunTimeObservation(
                 queue=queue,
                 unit=unit,
                 index=key.index,
@@ -267,7 +285,7 @@
                 run_time_s=run_time_s
                 * self.speeds.lasting_speed(attempt.worker),
             )
-            self.run_times.partial_fit([run_time])
+        ]
 
     def _observe_end(
         self,
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -342,6 +342,18 @@
         lasting = current.speeds.lasting_ if current else None
         self.metrics.speed_spread.set(lasting.spread_ if lasting else 0.0)
         self.metrics.known_speeds.set(lasting.known_count if lasting else 0)
+        for gauge, counts in (
+            (
+                self.metrics.orders_in_flight,
+                current.sender.in_flight() if current else {},
+            ),
+            (
+                self.metrics.orders_queued,
+                current.sender.queued() if current else {},
+            ),
+        ):
+            for kind in coordinator.ORDER_KINDS:
+                gauge.labels(kind).set(counts.get(kind, 0))
 
 
 def _connect(listed: fleet.ListedWorker) -> fleet.WorkerClient:
