Test the memory and descriptors of an instance under hostile clients

Clients outside our control have ended processes by using their memory. The tests send endless heads, trailers and pipelined requests to each port of a real instance, and check its memory, its descriptors and that it serves ordinary calls.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 # Tests on the real clock and with fixed ports, which run one at a time.
-REAL_CLOCK := tests/processes tests/whole_path tests/platform
+REAL_CLOCK := tests/processes tests/whole_path tests/platform tests/clients
 
 .PHONY: test demo bench lint format clean
 
