Limit what clients may send, and the totals over all connections

Heads, trailers and pipelined requests without an end ended processes by using their memory. uvicorn's httptools protocol gets a subclass that parses whole heads only, serves one request at a time, pauses reading while a response is unread, and has time limits. A ledger bounds connections and their bytes over all listeners. Limits come from the configuration and the settings.

--- a/magnoliaglade/http/__init__.py
+++ b/magnoliaglade/http/__init__.py
@@ -8,6 +8,12 @@
     Reply,
     WithheldError,
 )
+from magnoliaglade.http._limits import (
+    KEEP_ALIVE_S,
+    ConnectionLedger,
+    ConnectionLimits,
+    Rejection,
+)
 from magnoliaglade.http._server import (
     BodyTooLargeError,
     Handler,
@@ -21,7 +27,10 @@
 )
 
 __all__ = [
+    "KEEP_ALIVE_S",
     "BodyTooLargeError",
+    "ConnectionLedger",
+    "ConnectionLimits",
     "Handler",
     "HttpClient",
     "HttpClientError",
@@ -29,6 +38,7 @@
     "HttpServerError",
     "NoReplyError",
     "NotSentError",
+    "Rejection",
     "Reply",
     "WithheldError",
     "bind",
--- a/magnoliaglade/http/_server.py
+++ b/magnoliaglade/http/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
@@ -13,12 +14,20 @@
 from blacksheep.server import routing
 
 from magnoliaglade import base, exceptions
+from magnoliaglade.http._limits import ConnectionLedger, ConnectionLimits
+from magnoliaglade.http._protocol import LimitedHttpProtocol
 
 Handler = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
 
-# Longer than the idle timeout of clients, so that the client closes first and
-# no request arrives on a connection that the server is closing.
-KEEP_ALIVE_S = 75
+# Receive buffer of a connection in bytes; the kernel takes twice as much. The
+# buffers count as memory of the process on the users' platform, and those that
+# the kernel sizes itself grow to several MB.
+RECEIVE_BUFFER_BYTES = 32_768
+# Connections that are accepted in one step of the event loop. They take
+# descriptors before the limit on connections can close any.
+_ACCEPTED_AT_ONCE = 32
+# Connections that wait in the kernel to be accepted.
+_BACKLOG = 2_048
 _STARTUP_POLL_S = 0.005
 
 
@@ -50,6 +59,9 @@
             servers that must know their address before they serve.
         stop_timeout_s: time that `stop` leaves for requests in flight, rounded
             down to whole seconds, at least 1.
+        ledger: connections of all servers of the process; its own if None.
+        limits: returns the limits of this server's connections; those of the
+            ledger if None.
     """
 
     _parameter_constraints = {
@@ -65,12 +77,16 @@
         port: int = 0,
         listener: socket.socket | None = None,
         stop_timeout_s: float = 30.0,
+        ledger: ConnectionLedger | None = None,
+        limits: Callable[[], ConnectionLimits] | None = None,
     ) -> None:
         self.application = application
         self.host = host
         self.port = port
         self.listener = listener
         self.stop_timeout_s = stop_timeout_s
+        self.ledger = ledger
+        self.limits = limits
         self._socket: socket.socket | None = None
         self._bound_port = 0
         self._server: _Server | None = None
@@ -92,15 +108,25 @@
         self.validate_params()
         self._socket = self.listener or bind(self.host, self.port)
         self._bound_port = self._socket.getsockname()[1]
+        # Connections inherit it.
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        ledger = self.ledger or ConnectionLedger(limits=ConnectionLimits())
+        protocol = functools.partial(
+            LimitedHttpProtocol,
+            ledger=ledger,
+            limits=self.limits or (lambda: ledger.limits),
+        )
         config = uvicorn.Config(
             self.application,
             log_config=None,
             access_log=False,
             lifespan="on",
             loop="asyncio",
-            http="httptools",
+            http=protocol,  # type: ignore[arg-type]
             ws="none",
-            timeout_keep_alive=KEEP_ALIVE_S,
+            backlog=_ACCEPTED_AT_ONCE,
             timeout_graceful_shutdown=max(1, int(self.stop_timeout_s)),
         )
         self._server = _Server(config)
@@ -111,6 +137,7 @@
             if self._serve_task.done():
                 raise HttpServerError("the server stopped during startup")
             await asyncio.sleep(_STARTUP_POLL_S)
+        self._socket.listen(_BACKLOG)
 
     async def stop(self) -> None:
         """Stops accepting connections, then waits for requests in flight."""
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -26,6 +26,7 @@
     supervision,
 )
 from magnoliaglade.gateway import Gateway
+from magnoliaglade.instance._client_limits import ClientLimits
 from magnoliaglade.instance._coordinator_calls import (
     CoordinatorClient,
     make_routes,
@@ -105,6 +106,12 @@
             election_delay_s=coordinator.election_delay_s(settings.cores),
             is_loop_lagging=lambda: self.monitor.is_lagging,
         )
+        self.client_limits = ClientLimits(
+            memory_mb=settings.memory_mb,
+            max_fds=settings.max_fds,
+            observe_rejection=self._observe_rejection,
+        )
+        self.configuration_watcher.on_change(self._update_client_limits)
         self._servers = self._make_servers()
         self._confirm_task: asyncio.Task[None] | None = None
 
@@ -206,6 +213,7 @@
                 self._coordinator.dump() if self._coordinator else None
             ),
             "store": self.store.dump(),
+            "clients": self.client_limits.dump(),
         }
 
     async def _serve_term(self, epoch: Epoch) -> None:
@@ -250,10 +258,16 @@
             is_stopping=lambda: self._is_stopping,
             observe_call=self._observe_call,
         )
-        applications = (
-            (self.settings.api_address, job_api.application()),
-            (self.settings.readiness_address, job_api.readiness_application()),
-            (self.settings.internal_address, self._internal_application()),
+        settings, limits = self.settings, self.client_limits
+        readiness = job_api.readiness_application()
+        listeners = (
+            (settings.api_address, job_api.application(), limits.callers),
+            (settings.readiness_address, readiness, limits.callers),
+            (
+                settings.internal_address,
+                self._internal_application(),
+                limits.instances,
+            ),
         )
         return [
             http.HttpServer(
@@ -261,8 +275,10 @@
                 host=address.host,
                 port=address.port,
                 stop_timeout_s=1.0,
+                ledger=limits.ledger,
+                limits=listener_limits,
             )
-            for address, application in applications
+            for address, application, listener_limits in listeners
         ]
 
     def _observe_call(
@@ -274,6 +290,14 @@
     def _observe_waste(self, cause: str, core_s: float) -> None:
         self.metrics.wasted_work.labels(cause).inc(core_s)
 
+    def _observe_rejection(self, reason: str) -> None:
+        self.metrics.rejected_connections.labels(reason).inc()
+
+    def _update_client_limits(self) -> None:
+        configuration = self.configuration_watcher.configuration
+        if configuration is not None:
+            self.client_limits.apply(configuration)
+
     def _observe_unexpected(self, kind: str) -> None:
         self.metrics.unexpected_runs.labels(kind).inc()
 
--- a/magnoliaglade/instance/_metrics.py
+++ b/magnoliaglade/instance/_metrics.py
@@ -44,6 +44,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.rejected_connections = prometheus_client.Counter(
+            "magnoliaglade_rejected_connections",
+            "Connections of clients that were closed at a limit, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.store_calls = prometheus_client.Gauge(
             "magnoliaglade_store_calls",
             "Calls to the key-value service since the start.",
--- a/magnoliaglade/instance/_settings.py
+++ b/magnoliaglade/instance/_settings.py
@@ -60,6 +60,8 @@
         store_address: `host:port` of the platform's key-value service.
         bounds: time bounds of the deployment.
         cores: processor cores that the instance may use.
+        memory_mb: memory of the machine in MB; 0 if not stated.
+        max_fds: descriptors that the process may open; 0 if not stated.
     """
 
     instance: InstanceId
@@ -70,3 +72,5 @@
     store_address: str
     bounds: TimeBounds
     cores: float = 1.0
+    memory_mb: int = 0
+    max_fds: int = 0
--- a/magnoliaglade/platform/_boot.py
+++ b/magnoliaglade/platform/_boot.py
@@ -53,6 +53,8 @@
         ),
         bounds=_decode_bounds(fields.nested("bounds")),
         cores=_decode_cores(fields.nested("limits")),
+        memory_mb=fields.nested("limits").integer("memoryMb"),
+        max_fds=fields.nested("limits").integer("maxFds"),
     )
 
 
--- a/magnoliaglade/platform/_documents.py
+++ b/magnoliaglade/platform/_documents.py
@@ -87,6 +87,7 @@
     accounts = [
         _decode_account(Fields(data=t)) for t in fields.array("tenants")
     ]
+    limits = fields.nested("limits")
     return routing.Configuration(
         version=fields.integer("version", is_required=True),
         queues=tuple(
@@ -97,7 +98,10 @@
             for s in fields.array("services")
         ),
         accounts={a.name: a for a in accounts},
-        max_body_bytes=fields.nested("limits").integer("maxBodyBytes"),
+        max_body_bytes=limits.integer("maxBodyBytes"),
+        max_header_bytes=limits.integer("maxHeaderBytes"),
+        header_timeout_s=limits.integer("headerTimeoutMs") / 1000.0,
+        idle_timeout_s=limits.integer("idleTimeoutMs") / 1000.0,
         accounts_by_digest={d: a.name for a in accounts for d in a.key_digests},
     )
 
--- a/magnoliaglade/platform/_job_api.py
+++ b/magnoliaglade/platform/_job_api.py
@@ -96,6 +96,9 @@
         """
         try:
             return await self._handle(request)
+        except blacksheep.exceptions.MessageAborted:
+            # The body has not arrived as a whole, and nobody reads the answer.
+            return _empty_response(400)
         except Exception as error:
             observability.log_event(
                 "error",
--- a/magnoliaglade/platform/testing.py
+++ b/magnoliaglade/platform/testing.py
@@ -112,6 +112,7 @@
         ],
         "platform": {"address": settings.store_address},
         "bounds": {"holdMaxMs": int(settings.bounds.longest_lease_s * 1000)},
+        "limits": {"memoryMb": settings.memory_mb, "maxFds": settings.max_fds},
     }
     return orjson.dumps(fields)
 
--- a/magnoliaglade/routing/_configuration.py
+++ b/magnoliaglade/routing/_configuration.py
@@ -66,6 +66,10 @@
         accounts: client accounts by id.
         max_body_bytes: largest request body; 0 if no limit is configured.
         accounts_by_digest: account ids by the digests of their keys.
+        max_header_bytes: largest request head; 0 if no limit is configured.
+        header_timeout_s: time until a head is complete; 0 if not configured.
+        idle_timeout_s: time for which a connection may be idle; 0 if not
+            configured.
     """
 
     version: int
@@ -74,6 +78,9 @@
     accounts: Mapping[AccountId, Account]
     max_body_bytes: int
     accounts_by_digest: Mapping[bytes, AccountId]
+    max_header_bytes: int = 0
+    header_timeout_s: float = 0.0
+    idle_timeout_s: float = 0.0
 
     @functools.cached_property
     def _queues_by_name(self) -> Mapping[QueueName, Queue]:
--- a/tests/clients/served.py
+++ b/tests/clients/served.py
@@ -26,6 +26,8 @@
 }
 JOB = b'{"spec":"x","steps":[{"count":1,"cpu":10}]}'
 _WARM_UP_JOB = "f" * 16
+# More than the idle connections that an HTTP client keeps.
+_WARM_UP_CALLS = 48
 _TIMEOUT_S = 30.0
 
 
@@ -86,8 +88,14 @@
         async with asyncio.timeout(_TIMEOUT_S):
             while not await self.is_serving():
                 await asyncio.sleep(0.1)
-            # Loads what the first job needs, which is part of the rest.
-            await self.call("POST", PREFIX + _WARM_UP_JOB, body=JOB)
+            # Loads what the first job needs, and opens the connections that the
+            # process keeps to the store. Both are part of the rest.
+            await asyncio.gather(
+                *(
+                    self.call("POST", PREFIX + _WARM_UP_JOB, body=JOB)
+                    for _ in range(_WARM_UP_CALLS)
+                )
+            )
             while (await self.call("GET", PREFIX + _WARM_UP_JOB)).json() != {
                 "state": "completed"
             }:
