Let pipelining clients give way to new connections

480 connections that pipeline requests kept ordinary callers out, as none of them waited for its client.

--- a/magnoliaglade/http/_limits.py
+++ b/magnoliaglade/http/_limits.py
@@ -112,6 +112,10 @@
     def is_expendable(self) -> bool:
         """Whether closing it loses no request that has arrived as a whole."""
 
+    @property
+    def is_pipelining(self) -> bool:
+        """Whether it has sent the next request before a response."""
+
     @property
     def waiting_rank(self) -> tuple[bool, float]:
         """Whether it has been served, and since when it waits for a client."""
@@ -125,7 +129,8 @@
 
     If a total is exceeded, the connection that costs callers least is closed:
     for connections the one that has waited longest for its client, preferably
-    one that was never served; for bytes the one that holds most.
+    one that was never served, or else one that pipelines; for bytes the one
+    that holds most.
 
     Attributes:
         limits: limits in force; they may be replaced at any time.
@@ -153,8 +158,13 @@
         self._held_bytes[connection] = 0
         if len(self._held_bytes) <= self.limits.max_connections:
             return
-        expendable = [c for c in self._held_bytes if c.is_expendable]
-        chosen = min(expendable, key=lambda c: c.waiting_rank)
+        others = [c for c in self._held_bytes if c is not connection]
+        candidates = [c for c in others if c.is_expendable] or [
+            c for c in others if c.is_pipelining
+        ]
+        chosen = min(
+            candidates, key=lambda c: c.waiting_rank, default=connection
+        )
         chosen.reject(Rejection.TOO_MANY_CONNECTIONS)
 
     def remove(self, connection: Connection) -> int:
--- a/magnoliaglade/http/_protocol.py
+++ b/magnoliaglade/http/_protocol.py
@@ -107,6 +107,11 @@
             and (self._is_in_body or not self._is_in_progress)
         )
 
+    @property
+    def is_pipelining(self) -> bool:
+        """Whether it has sent the next request before a response."""
+        return self._is_in_progress and bool(self._pending)
+
     @property
     def waiting_rank(self) -> tuple[bool, float]:
         """Whether it has been served, and since when it waits for a client."""
--- a/magnoliaglade/http/tests/test_protocol.py
+++ b/magnoliaglade/http/tests/test_protocol.py
@@ -265,6 +265,24 @@
         silent[1].close()
         assert echo.rejections == ["too many connections"]
 
+    async def test_pipelining_client_gives_way_to_others(self, start):
+        """Guards against pipelined requests that keep others out."""
+        echo = await start(limits=http.ConnectionLimits(max_connections=2))
+        echo.gate.clear()
+        ordinary, pipelining = await echo.connect(), await echo.connect()
+        ordinary[1].write(post(b""))
+        pipelining[1].write(post(b"") * 3)
+        await wait_for(lambda: echo.concurrent == 2)
+        newest = await echo.connect()
+        with contextlib.suppress(ConnectionError):
+            assert await pipelining[0].read() == b""
+        echo.gate.set()
+        newest[1].write(post(b""))
+        for reader, writer in (ordinary, newest):
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+        pipelining[1].close()
+
     async def test_connection_that_holds_most_is_closed(self, start):
         """Guards against bodies without an end that exhaust the memory."""
         echo = await start(
