Release the parser of a reply, and don't cache heads that seldom repeat

Cause: the parser refers back to the object that collects the reply, so the bodies of store calls stayed in memory until a full garbage collection, and each read or watch of the store added a head to the cache.

Change: the parser is released with the reply, and heads of targets with a query are not cached.

Measured: the new test fails without the release.

--- a/magnoliaglade/http/_connection.py
+++ b/magnoliaglade/http/_connection.py
@@ -78,7 +78,9 @@
         """
         base_headers = (("host", self.host), ("content-length", str(len(body))))
         try:
-            head = _encode_head(method, target, (*base_headers, *headers))
+            # Targets with a query seldom repeat and would fill the cache.
+            encode = _encode_head if "?" in target else _encode_cached_head
+            head = encode(method, target, (*base_headers, *headers))
         except (h11.LocalProtocolError, UnicodeError) as error:
             raise InvalidRequestError(repr(error)) from error
         self._is_idle = False
@@ -91,6 +93,8 @@
                 reply.feed(data)
         except (httptools.HttpParserError, OSError) as error:
             raise ConnectionBrokenError(repr(error)) from error
+        finally:
+            reply.close()
         self._is_idle = reply.allows_reuse
         return reply.status, bytes(reply.content)
 
@@ -129,6 +133,14 @@
         # The end of the connection ends a body of unstated length.
         self.is_complete = True
 
+    def close(self) -> None:
+        """Releases the parser.
+
+        It refers back to this object, and the cycle would keep the body, which
+        may have a megabyte, until the next full garbage collection.
+        """
+        del self._parser
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -160,7 +172,6 @@
             self.allows_reuse = self._parser.should_keep_alive()
 
 
-@functools.lru_cache(maxsize=_MAX_CACHED_HEADS)
 def _encode_head(
     method: str, target: str, headers: tuple[tuple[str, str], ...]
 ) -> bytes:
@@ -174,6 +185,11 @@
     return h11.Connection(h11.CLIENT).send(request) or b""
 
 
+_encode_cached_head = functools.lru_cache(maxsize=_MAX_CACHED_HEADS)(
+    _encode_head
+)
+
+
 async def connect(url: str) -> ClientConnection:
     """Connects to the host of a URL.
 
--- a/magnoliaglade/http/tests/test_http.py
+++ b/magnoliaglade/http/tests/test_http.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client and server on loopback."""
 
 import asyncio
+import gc
 
 import pytest
 
@@ -194,6 +195,31 @@
         await is_closed.wait()
 
 
+class TestReplyMemory:
+    async def test_reply_is_released_without_a_garbage_collection(self):
+        """Guards against bodies that reference cycles keep in memory."""
+
+        async def handle(request):
+            return http.json_response(200, "x" * 100_000)
+
+        server, client = await serve(handle)
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(3):
+                await client.call("POST", "/x")
+            kept = [
+                o
+                for o in gc.get_objects()
+                if isinstance(o, _connection._ReplyParser)
+            ]
+        finally:
+            gc.enable()
+        assert not kept
+        await client.stop()
+        await server.stop()
+
+
 class TestExtendedTimeout:
     """Each part of a long reply restarts the timeout.
 
