--- a/magnoliaglade/placement/_admission.py
+++ b/magnoliaglade/placement/_admission.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import functools
 import math
 from collections.abc import Iterable, Sequence
 
@@ -110,6 +109,9 @@
     def __init__(self, *, snapshot: Snapshot) -> None:
         self._snapshot = snapshot
         self._ranks = _overload.rank_demands(snapshot)
+        self._running_by_pool: dict[
+            tuple[ServiceName, int], tuple[Width, Width]
+        ] = {}
 
     @property
     def is_overloaded(self) -> bool:
@@ -159,7 +161,10 @@
 
         The longest run may be the last one, and others start beside it.
         """
-        total, work = self._running(service, priority)
+        pool = (service, priority)
+        if pool not in self._running_by_pool:
+            self._running_by_pool[pool] = self._running(service, priority)
+        total, work = self._running_by_pool[pool]
         longest_s = 0.0
         for demand in ahead:
             longest_s = max(longest_s, demand.estimate_s)
@@ -174,7 +179,6 @@
         wait_s = max(times_s, default=0.0) - longest_s
         return max(0.0, wait_s) if math.isfinite(wait_s) else 0.0
 
-    @functools.cache  # noqa: B019
     def _running(
         self, service: ServiceName, priority: int
     ) -> tuple[Width, Width]:
--- a/magnoliaglade/placement/_pool_capacity.py
+++ b/magnoliaglade/placement/_pool_capacity.py
@@ -131,6 +131,7 @@
             if a.worker in usable and not a.is_stopping
         ]
         self._holdable: dict[tuple[Resources, str, int], int] = {}
+        self._capacities_by_label: dict[str, Mapping[Resources, int]] = {}
 
     def share(self, width: Width) -> float:
         """Returns the largest share of the pool's capacity of any kind."""
@@ -259,12 +260,15 @@
             total += count * slots
         return total
 
-    @functools.cache  # noqa: B019
     def _capacities(self, label: str) -> Mapping[Resources, int]:
         """Returns how many workers with a label have which capacity."""
-        return collections.Counter(
-            c.capacity for c in self._workers if not label or label in c.labels
-        )
+        if label not in self._capacities_by_label:
+            self._capacities_by_label[label] = collections.Counter(
+                c.capacity
+                for c in self._workers
+                if not label or label in c.labels
+            )
+        return self._capacities_by_label[label]
 
 
 def _sum_resources(resources: Iterable[Resources]) -> Width:
--- a/magnoliaglade/placement/tests/test_admission.py
+++ b/magnoliaglade/placement/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Tests of the estimated waits of new submissions."""
 
+import gc
 import math
 
 import pytest
@@ -106,3 +107,19 @@
             snapshot=builders.snapshot((), demands=[whole_pool("d")])
         )
         assert estimator.waits_s(builders.SERVICE, 1, (0.0,)) == (0.0,)
+
+
+class TestMemory:
+    def test_snapshots_are_released(self):
+        """Guards against caches that keep every snapshot of a term."""
+        demands = [whole_pool(f"d{n}") for n in range(3)]
+        for _ in range(3):
+            waits_s(demands=demands, allocations=running(2, 6.0))
+            placement.order_demands(
+                builders.snapshot(
+                    WORKERS, allocations=running(2, 6.0), demands=demands
+                )
+            )
+        gc.collect()
+        kept = [o for o in gc.get_objects() if type(o) is placement.Snapshot]
+        assert not kept
