Mend what the review of the parts found

Three readers who had not written a part reviewed them. Cause and change:

- A wait of a new submission was estimated by spreading running work over the whole pool, so useful submissions could be refused beside idle capacity.
Runs keep to their own part now, and jobs with a step without accelerators are never refused.
- A connection that closes behind an unread response was never released.
- A request that waits for memory could be closed as expendable, and an empty line after a body shortened the idle time.
- An error in the decision on one order held up all orders of its worker.
- A guaranteed gang without a rack constraint could lose its free part to lesser work while the rest was being released.
- A gang whose options had gone started its waiting time anew.
- In a burst each gang used up to six searches for victims, so that others had none; beyond a quarter of the searches one group is compared.
- Workers that all stand still raised an error in the plan.
- Transient speeds changed placements in pools of equal workers; tiers of speeds apply only where lasting ones are known.

--- a/magnoliaglade/coordinator/_dispatcher.py
+++ b/magnoliaglade/coordinator/_dispatcher.py
@@ -230,7 +230,7 @@
             order = self._next_order()
             if order is None:
                 return False
-            decision = order.decide()
+            decision = self._decide(order)
             if decision is Decision.HOLD:
                 self._mark_ready(order.worker)
                 return False
@@ -244,6 +244,23 @@
             self._mark_ready(order.worker)
         return True
 
+    def _decide(self, order: QueuedOrder) -> Decision:
+        """Returns what to do with an order, which is dropped after an error.
+
+        Otherwise the error would hold up all further orders of the worker.
+        """
+        try:
+            return order.decide()
+        except Exception as error:
+            observability.log_event(
+                "orders",
+                state="undecided",
+                of=self.kind,
+                worker=order.worker,
+                **supervision.describe_error(error),
+            )
+            return Decision.DROP
+
     def _next_order(self) -> QueuedOrder | None:
         """Returns the most urgent order that its worker can take."""
         while self._ready:
--- a/magnoliaglade/coordinator/tests/test_bounded_orders.py
+++ b/magnoliaglade/coordinator/tests/test_bounded_orders.py
@@ -339,6 +339,24 @@
         await pool.sender.close()
 
 
+class TestErrors:
+    async def test_error_does_not_hold_up_further_orders(self, monkeypatch):
+        """Guards against a worker that gets no orders after one error."""
+        pool = Pool(workers=1)
+        job, runs = pool.plan_runs("job", 3)
+        may_start = iter([True])
+
+        def fail_once():
+            if next(may_start, False):
+                raise RuntimeError("unexpected")
+            return True
+
+        monkeypatch.setattr(pool.permission, "may_start", fail_once)
+        pool.start(job, runs)
+        await pool.settle(lambda: len(pool.sent_at(job)) >= 2)
+        await pool.sender.close()
+
+
 class TestUnresponsiveWorkers:
     @pytest.mark.parametrize("workers", [24, 176])
     @pytest.mark.parametrize("kind", ["start", "stop"])
--- a/magnoliaglade/gateway/_admission.py
+++ b/magnoliaglade/gateway/_admission.py
@@ -100,9 +100,13 @@
     def _is_exempt(self, job: jobs.Job) -> bool:
         """Returns whether a job may be useful whatever is ahead of it.
 
-        It is due later, lasts, or may be within the guarantee of its account.
+        It is due later, lasts, or may be within the guarantee of its account;
+        or a step needs no accelerators, which may be all that is scarce.
         """
-        if job.spec.is_timed or any(s.is_long_running for s in job.spec.steps):
+        if job.spec.is_timed or any(
+            s.is_long_running or not s.demand.accelerators
+            for s in job.spec.steps
+        ):
             return True
         configuration = self.configuration_watcher.configuration
         if configuration is None:
--- a/magnoliaglade/http/_protocol.py
+++ b/magnoliaglade/http/_protocol.py
@@ -103,6 +103,7 @@
         """Whether closing it loses no request that has arrived as a whole."""
         return (
             not self._is_rejected
+            and not self._is_deferred
             and not self.transport.is_closing()
             and (self._is_in_body or not self._is_in_progress)
         )
@@ -396,7 +397,10 @@
             self._start_timer(Rejection.BODY_TIMEOUT)
         elif self._is_in_progress or self._is_deferred:
             self._stop_timer()
-        elif not self._pending and not self._empty_line_bytes:
+        elif not self._pending and (
+            self._was_served or not self._empty_line_bytes
+        ):
+            # Some clients send an empty line after a body.
             self._start_timer(Rejection.NO_REQUEST)
         elif self._timer_reason is not Rejection.HEADER_TIMEOUT:
             # Not started again by later bytes of the same head.
@@ -418,7 +422,12 @@
 
     def _on_timeout(self) -> None:
         reason = self._timer_reason
-        if reason is None or self.transport.is_closing():
+        if reason is None:
+            return
+        if self.transport.is_closing():
+            # It is closed once the client has read the response.
+            if not self._has_progressed(reason):
+                self.reject(reason)
             return
         if reason is Rejection.NO_REQUEST and self._was_served:
             # The ordinary end of a connection that is kept open.
--- a/magnoliaglade/placement/_admission.py
+++ b/magnoliaglade/placement/_admission.py
@@ -99,6 +99,19 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Running:
+    """Capacity of a pool and what occupies it.
+
+    Attributes:
+        capacity: capacity without that of runs that last.
+        runs: remaining time in seconds and capacity of each other run, by time.
+    """
+
+    capacity: Width
+    runs: list[tuple[float, Width]]
+
+
 class WaitEstimator:
     """Estimates waits from a snapshot.
 
@@ -109,9 +122,7 @@
     def __init__(self, *, snapshot: Snapshot) -> None:
         self._snapshot = snapshot
         self._ranks = _overload.rank_demands(snapshot)
-        self._running_by_pool: dict[
-            tuple[ServiceName, int], tuple[Width, Width]
-        ] = {}
+        self._running_by_pool: dict[tuple[ServiceName, int], _Running] = {}
 
     @property
     def is_overloaded(self) -> bool:
@@ -157,39 +168,41 @@
     def _time_s(
         self, service: ServiceName, priority: int, ahead: Iterable[Demand]
     ) -> float:
-        """Returns the time for running and other work, less the longest run.
+        """Returns until when the capacity is filled, less the longest demand.
 
-        The longest run may be the last one, and others start beside it.
+        The longest demand may be the last one, and others start beside it.
         """
         pool = (service, priority)
         if pool not in self._running_by_pool:
             self._running_by_pool[pool] = self._running(service, priority)
-        total, work = self._running_by_pool[pool]
+        running = self._running_by_pool[pool]
         longest_s = 0.0
+        work: Width = (0, 0, 0)
         for demand in ahead:
             longest_s = max(longest_s, demand.estimate_s)
             width = width_of(demand.resources, len(demand.indexes))
             work = _add_scaled(work, width, demand.estimate_s)
-        times_s = [
-            w / t if t > 0.0 else math.inf
-            for w, t in zip(work, total, strict=True)
-            if w > 0.0
-        ]
+        wait_s = max(
+            _filled_until_s(
+                running.capacity[kind],
+                [(end_s, width[kind]) for end_s, width in running.runs],
+                work[kind],
+            )
+            for kind in range(len(work))
+        )
         # Without any capacity nothing is known about the time of its return.
-        wait_s = max(times_s, default=0.0) - longest_s
+        wait_s -= longest_s
         return max(0.0, wait_s) if math.isfinite(wait_s) else 0.0
 
-    def _running(
-        self, service: ServiceName, priority: int
-    ) -> tuple[Width, Width]:
-        """Returns the capacity, and the work that runs still have to do.
+    def _running(self, service: ServiceName, priority: int) -> _Running:
+        """Returns the capacity and the runs that a new job has to wait for.
 
         Runs that last reduce the capacity. Runs that are preempted for the
         priority do not count.
         """
         now_s = self._snapshot.now_s
-        capacity = (0, 0, 0)
-        work = (0, 0, 0)
+        capacity: Width = (0, 0, 0)
+        runs: list[tuple[float, Width]] = []
         usable = set()
         for candidate in self._snapshot.candidates:
             if candidate.service == service and candidate.is_schedulable:
@@ -208,8 +221,33 @@
             if math.isinf(remaining_s):
                 capacity = _pool_capacity.subtract(capacity, width)
             else:
-                work = _add_scaled(work, width, remaining_s)
-        return capacity, work
+                runs.append((remaining_s, width))
+        runs.sort(key=lambda r: r[0])
+        return _Running(capacity=capacity, runs=runs)
+
+
+def _filled_until_s(
+    total: float, runs: Sequence[tuple[float, float]], work: float
+) -> float:
+    """Returns how long runs and other work can fill the capacity of one kind.
+
+    Other work may be divided at will, but a run occupies its own part until its
+    end, so it does not keep a new job from capacity beside it.
+
+    Args:
+        total: capacity.
+        runs: remaining time in seconds and capacity of each run, by time.
+        work: other work, as capacity times seconds.
+    """
+    used = sum(width for _, width in runs)
+    if total <= 0:
+        return math.inf if work > 0 or used > 0 else 0.0
+    for end_s, width in runs:
+        if used < total and work / (total - used) <= end_s:
+            return work / (total - used)
+        work += width * end_s
+        used -= width
+    return work / total
 
 
 # Ranks of demands that a new job need not wait for.
--- a/magnoliaglade/placement/_gang_options.py
+++ b/magnoliaglade/placement/_gang_options.py
@@ -89,9 +89,8 @@
             pool: all workers that may run it.
             latest_begin_s: latest start for which the gang may wait.
         """
-        fastest_s = demand.estimate_s / max(
-            (c.speed for c in pool), default=1.0
-        )
+        fastest = sorted(pool, key=lambda c: c.speed)[-1:]
+        fastest_s = _rack_choice.run_time_s(demand, fastest)
         options = self.find_on_rack(demand, groups)
         delay_s = self.stop_s
         if not self._may_improve(demand, options, fastest_s):
--- a/magnoliaglade/placement/_gang_packing.py
+++ b/magnoliaglade/placement/_gang_packing.py
@@ -52,7 +52,7 @@
     slots = functools.partial(tracker.slots, demand)
     top_step = None
     best: tuple[int, list[WorkerId]] | None = None
-    if demand.priority == 0:
+    if demand.priority == 0 and any(map(_rack_choice.differ_lastingly, groups)):
         top_step = max(
             (_rack_choice.speed_step(c) for g in groups for c in g), default=0
         )
--- a/magnoliaglade/placement/_gang_placement.py
+++ b/magnoliaglade/placement/_gang_placement.py
@@ -94,7 +94,12 @@
                 latest_begin_s=self._latest_begin_s(demand),
             )
         if not options:
-            return self._wait_for_searches(demand)
+            if self._wait_for_searches(demand):
+                return True
+            if demand.unit in self.waits:
+                # Keeps the time since which it waits.
+                self._add_wait(demand, placement=(), choice=None)
+            return False
         prospect, choice = _rack_choice.choose(
             demand,
             [o.prospect for o in options],
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -140,8 +140,8 @@
         )
         self._gang_placer = self._make_gang_placer()
         self._rejections = RejectionCache()
-        self._has_lasting_speeds = any(
-            c.lasting_speed != 1.0 for c in snapshot.candidates
+        self._has_lasting_speeds = _rack_choice.differ_lastingly(
+            snapshot.candidates
         )
         self._unfit_workers = frozenset(
             c.worker
@@ -301,11 +301,14 @@
         """Starts a gang or frees capacity for it; returns whether it did."""
         groups = self._groups(demand)
         if self._has_options(demand):
-            return self._gang_placer.place(
-                demand,
-                _rack_groups.near_data(demand, groups),
-                self._pool(demand),
-            )
+            near = _rack_groups.near_data(demand, groups)
+            if self._gang_placer.place(demand, near, self._pool(demand)):
+                return True
+            if demand.unit in self._gang_placer.postponed:
+                return False
+            # Otherwise lesser work would take the free part of what becomes
+            # free for the gang.
+            return any(self._allocate_releasing(demand, g) for g in near)
         if self._start_gang(demand, groups):
             return True
         if not _preemptor.may_preempt(demand):
--- a/magnoliaglade/placement/_preemptor.py
+++ b/magnoliaglade/placement/_preemptor.py
@@ -114,7 +114,9 @@
             return []
         found: list[PreemptionOption] = []
         for group in groups:
-            if len(found) == MAX_GROUPS_COMPARED:
+            # In a burst the searches are left to the gangs that follow.
+            is_scarce = 4 * self.searches > self.max_searches
+            if len(found) >= (1 if is_scarce else MAX_GROUPS_COMPARED):
                 break
             victims = self._search(demand, group, len(demand.indexes))
             if victims:
--- a/magnoliaglade/placement/_rack_choice.py
+++ b/magnoliaglade/placement/_rack_choice.py
@@ -193,13 +193,22 @@
     return round(candidate.speed / _packing.SPEED_STEP)
 
 
+def differ_lastingly(group: Iterable[Candidate]) -> bool:
+    """Returns whether lasting speeds of workers are known to differ.
+
+    Transient differences are left to the packing, and to the exclusion of
+    unfit workers.
+    """
+    return any(c.lasting_speed != 1.0 for c in group)
+
+
 def speed_tiers(group: Sequence[Candidate]) -> list[list[Candidate]]:
     """Returns sets of workers to pack an urgent gang on, best first.
 
     A set of equally fast workers comes before the set that includes faster
     ones, on which a gang with a slower member gains nothing.
     """
-    if len({(c.speed, c.is_overdue) for c in group}) <= 1:
+    if not differ_lastingly(group):
         return [list(group)]
     steps = {c.worker: speed_step(c) for c in group}
     distinct = sorted(set(steps.values()), reverse=True)
--- a/magnoliaglade/placement/tests/test_admission.py
+++ b/magnoliaglade/placement/tests/test_admission.py
@@ -65,6 +65,12 @@
                     "priority": 0,
                 },
             ),
+            # Long runs beside idle capacity, or beside some that is soon idle.
+            (0.0, {"allocations": running(2, 100.0)[:4]}),
+            (
+                5.0,
+                {"allocations": running(2, 5.0)[:1] + running(2, 90.0)[1:]},
+            ),
             # Behind the new job: lower priority, less value, worth nothing, or
             # held by no workers.
             (0.0, {"demands": [whole_pool("d", priority=2)] * 3}),
