Let the test of the free part fail without its change

Change: the lesser work ends before the reservation. No test guards the rule that transient speeds alone make no tiers.

Measured: fails with the former `_planner.py`, passes now.

--- a/magnoliaglade/placement/tests/test_rack_choice.py
+++ b/magnoliaglade/placement/tests/test_rack_choice.py
@@ -356,13 +356,17 @@
         """
         pool = builders.racks(1, size=3, speeds=((1.4, 1.4, 0.6),))
         taken = [
-            builders.allocation("s", "w01", 8, is_stopping=True),
+            builders.allocation(
+                "s", "w01", 8, is_stopping=True, ends_at_s=NOW_S + 20.0
+            ),
             builders.allocation("p", "w02", 8, is_protected=True),
         ]
         waiting = urgent(
             same_rack=False, is_guaranteed=True, arrived_at_s=NOW_S - 1.5
         )
-        lesser = builders.demand("lesser", 1, 8, is_gang=False, priority=2)
+        lesser = builders.demand(
+            "lesser", 1, 8, is_gang=False, priority=2, estimate_s=2.0
+        )
         found = plan(pool, allocations=taken, demands=[waiting, lesser])
         assert not found.starts
 
