Use one function each for the speed of a gang, its run time and speed steps

Cause: the choice of rack had its own minimum of speeds and its own rounding beside those of the packing, and planner and option finder the same run time of chosen workers. Two properties of the pool's capacity had vague names.

Change: the existing functions are called; the properties are renamed. No behaviour changes.

Measured: tests of placement, stand-ins and coordinator pass; linter and formatter pass.

--- a/magnoliaglade/placement/_gang_options.py
+++ b/magnoliaglade/placement/_gang_options.py
@@ -158,7 +158,8 @@
             waits_s=waits_s,
         )
 
-    def _run_s(self, demand: Demand, workers: Sequence[WorkerId]) -> float:
+    def run_s(self, demand: Demand, workers: Sequence[WorkerId]) -> float:
+        """Returns the expected run time of a gang on workers, in seconds."""
         candidates = (self.tracker.candidates[w] for w in workers)
         return _rack_choice.run_time_s(demand, candidates)
 
@@ -169,7 +170,7 @@
         chosen = _gang_packing.pack_on_fastest(demand, groups, self.tracker)
         if chosen is None:
             return []
-        run_s = self._run_s(demand, chosen)
+        run_s = self.run_s(demand, chosen)
         prospect = self._prospect(PlacementOption.ON_RACK, run_s=run_s)
         return [GangOption(prospect=prospect, workers=chosen)]
 
@@ -189,7 +190,7 @@
             delay_s = max(0.0, at_s - self._now_s)
             prospect = self._prospect(
                 PlacementOption.LATER,
-                run_s=self._run_s(demand, workers),
+                run_s=self.run_s(demand, workers),
                 delay_s=delay_s,
                 cost=_rack_choice.WAIT_COST,
                 waits_s=delay_s,
@@ -303,7 +304,7 @@
             return []
         prospect = self._prospect(
             PlacementOption.OFF_RACK,
-            run_s=self._run_s(demand, chosen) * self.off_rack_slowdown,
+            run_s=self.run_s(demand, chosen) * self.off_rack_slowdown,
             delay_s=delay_s,
             cost=self._occupancy_cost(),
         )
--- a/magnoliaglade/placement/_planner.py
+++ b/magnoliaglade/placement/_planner.py
@@ -273,8 +273,9 @@
             return False
         overdue_at_s = claim.ordered_at_s + self.planner.stop_s + STOP_MARGIN_S
         stops_in_s = overdue_at_s - self.snapshot.now_s
-        claimed_s = self._run_s(demand, [w for _, w in claim.placement])
-        ends_later = self._run_s(demand, chosen) > stops_in_s + claimed_s
+        run_s = self._gang_placer.finder.run_s
+        claimed_s = run_s(demand, [w for _, w in claim.placement])
+        ends_later = run_s(demand, chosen) > stops_in_s + claimed_s
         if stops_in_s > 0.0 and ends_later:
             return False
         self._start(demand, chosen, claim.choice)
@@ -292,11 +293,6 @@
             demand.priority == 0 and self._has_lasting_speeds
         )
 
-    def _run_s(self, demand: Demand, workers: list[WorkerId]) -> float:
-        return _rack_choice.run_time_s(
-            demand, [self.tracker.candidates[w] for w in workers]
-        )
-
     def _place_gang(self, demand: Demand) -> bool:
         """Starts a gang or frees capacity for it; returns whether it did."""
         groups = self._groups(demand)
--- a/magnoliaglade/placement/_pool_capacity.py
+++ b/magnoliaglade/placement/_pool_capacity.py
@@ -173,7 +173,11 @@
             taken: what precedes the demands.
         """
         before = list(taken)
-        free, releases = self._urgent if priority == 0 else self._patient
+        free, releases = (
+            self._room_with_preemption
+            if priority == 0
+            else self._room_without_preemption
+        )
         free = subtract(free, total_of(t.width for t in before))
         return Room(free, sorted([*releases, *before]))
 
@@ -227,13 +231,13 @@
         return {_Group(*k): tuple(v) for k, v in sums.items()}
 
     @functools.cached_property
-    def _urgent(self) -> Room:
+    def _room_with_preemption(self) -> Room:
         return self._make_room(
             lambda group: group.priority == 0 or group.is_protected
         )
 
     @functools.cached_property
-    def _patient(self) -> Room:
+    def _room_without_preemption(self) -> Room:
         return self._make_room(lambda _: True)
 
     def _make_room(self, is_kept: Callable[[_Group], bool]) -> Room:
--- a/magnoliaglade/placement/_rack_choice.py
+++ b/magnoliaglade/placement/_rack_choice.py
@@ -179,7 +179,7 @@
 
 def run_time_s(demand: Demand, workers: Iterable[Candidate]) -> float:
     """Returns the run time of a gang, which its slowest worker determines."""
-    slowest = min((c.speed for c in workers), default=1.0)
+    slowest = _packing.slowest_speed(workers)
     return demand.estimate_s / max(slowest, _MIN_SPEED)
 
 
@@ -190,7 +190,7 @@
     """
     if _packing.is_unfit_for_urgent_work(candidate):
         return 0
-    return round(candidate.speed / _packing.SPEED_STEP)
+    return _packing.speed_level(candidate.speed)
 
 
 def differ_lastingly(group: Iterable[Candidate]) -> bool:
