--- a/magnoliaglade/http/__init__.py
+++ b/magnoliaglade/http/__init__.py
@@ -8,9 +8,9 @@
     Reply,
     WithheldError,
 )
+from magnoliaglade.http._ledger import ConnectionLedger
 from magnoliaglade.http._limits import (
     KEEP_ALIVE_S,
-    ConnectionLedger,
     ConnectionLimits,
     Rejection,
 )
--- a/magnoliaglade/http/_limits.py
+++ b/magnoliaglade/http/_limits.py
@@ -2,17 +2,12 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable
-from typing import Protocol
 
-from magnoliaglade import base, observability
+from magnoliaglade import base
 
 # Longer than the idle timeout of clients, so that the client closes first and
 # no request arrives on a connection that the server is closing.
 KEEP_ALIVE_S = 75.0
-# Bytes that one read takes from a connection. All connections share the buffer,
-# and a connection keeps at most one read beyond the limits of its request.
-READ_BYTES = 16_384
 # Least memory that a header line takes once it is parsed, in bytes: a tuple and
 # two byte strings. Without it, 16 KB of short lines would count as 16 KB but
 # take half a megabyte.
@@ -103,139 +98,3 @@
     NO_REQUEST = "no request"
     TOO_MANY_CONNECTIONS = "too many connections"
     TOO_MANY_BYTES = "too many bytes"
-
-
-class Connection(Protocol):
-    """What the ledger needs to know about a connection."""
-
-    @property
-    def is_expendable(self) -> bool:
-        """Whether closing it loses no request that has arrived as a whole."""
-
-    @property
-    def is_pipelining(self) -> bool:
-        """Whether it has sent the next request before a response."""
-
-    @property
-    def waiting_rank(self) -> tuple[bool, float]:
-        """Whether it has been served, and since when it waits for a client."""
-
-    def reject(self, reason: Rejection) -> None:
-        """Closes the connection at once."""
-
-
-class ConnectionLedger:
-    """Connections of all listeners of a process and the bytes that they hold.
-
-    If a total is exceeded, the connection that costs callers least is closed:
-    for connections the one that has waited longest for its client, preferably
-    one that was never served, or else one that pipelines; for bytes the one
-    that holds most.
-
-    Attributes:
-        limits: limits in force; they may be replaced at any time.
-        observe_rejection: called with the reason for each closed connection.
-    """
-
-    def __init__(
-        self,
-        *,
-        limits: ConnectionLimits,
-        observe_rejection: Callable[[str], None] = lambda _: None,
-    ) -> None:
-        self.limits = limits
-        self.observe_rejection = observe_rejection
-        # Takes every read; the loop has one thread, and a read is copied
-        # before the next one.
-        self.read_buffer = memoryview(bytearray(READ_BYTES))
-        self._held_bytes: dict[Connection, int] = {}
-        self._total_bytes = 0
-        # Bytes of closed connections whose tasks may not have ended.
-        self._leaving_bytes = 0
-
-    def add(self, connection: Connection) -> None:
-        """Adds a connection; closes one if there are too many."""
-        self._held_bytes[connection] = 0
-        if len(self._held_bytes) <= self.limits.max_connections:
-            return
-        others = [c for c in self._held_bytes if c is not connection]
-        candidates = [c for c in others if c.is_expendable] or [
-            c for c in others if c.is_pipelining
-        ]
-        chosen = min(
-            candidates, key=lambda c: c.waiting_rank, default=connection
-        )
-        chosen.reject(Rejection.TOO_MANY_CONNECTIONS)
-
-    def remove(self, connection: Connection) -> int:
-        """Removes a connection; one that is not known is ignored.
-
-        Returns:
-            the bytes that it held, which count as leaving until `release`.
-        """
-        held_bytes = self._held_bytes.pop(connection, 0)
-        self._total_bytes -= held_bytes
-        self._leaving_bytes += held_bytes
-        return held_bytes
-
-    def release(self, held_bytes: int) -> None:
-        """Forgets bytes of a connection that has been removed."""
-        self._leaving_bytes -= held_bytes
-
-    def reserve(self, connection: Connection, needed_bytes: int) -> bool:
-        """Returns whether a connection may take bytes for a request now.
-
-        If not, the connection is closed, or may ask again soon: connections
-        that hold more are closed for it, and their memory is not yet free. In
-        one step of the event loop every connection may have sent a head.
-        """
-        limit = self.limits.max_buffered_bytes
-        while self._total_bytes + needed_bytes > limit:
-            chosen = self._largest()
-            is_larger = (
-                chosen is not None and self._held_bytes[chosen] > needed_bytes
-            )
-            if not is_larger or chosen is connection:
-                connection.reject(Rejection.TOO_MANY_BYTES)
-                return False
-            chosen.reject(Rejection.TOO_MANY_BYTES)
-        total = self._total_bytes + self._leaving_bytes
-        return total + needed_bytes <= limit
-
-    def hold(self, connection: Connection, held_bytes: int) -> None:
-        """Sets the bytes of a connection; closes one if the total is exceeded.
-
-        The closed connection may be this one.
-        """
-        previous = self._held_bytes.get(connection)
-        if previous is None:
-            return
-        self._held_bytes[connection] = held_bytes
-        self._total_bytes += held_bytes - previous
-        while self._total_bytes > self.limits.max_buffered_bytes:
-            chosen = self._largest()
-            if chosen is None or not self._held_bytes[chosen]:
-                return
-            chosen.reject(Rejection.TOO_MANY_BYTES)
-
-    def _largest(self) -> Connection | None:
-        """Returns the connection that holds most and may be closed."""
-        expendable = [c for c in self._held_bytes if c.is_expendable]
-        return max(expendable, key=self._held_bytes.__getitem__, default=None)
-
-    def dump(self) -> dict[str, int]:
-        """Returns the number of connections and the bytes that they hold."""
-        return {
-            "connections": len(self._held_bytes),
-            "held_bytes": self._total_bytes,
-        }
-
-    def record_rejection(self, reason: Rejection, client: str) -> None:
-        """Counts a closed connection and logs it at a bounded rate."""
-        self.observe_rejection(reason.value)
-        observability.log_event(
-            "client rejected",
-            reason=reason.value,
-            client=client,
-            **self.dump(),
-        )
--- a/magnoliaglade/http/_protocol.py
+++ b/magnoliaglade/http/_protocol.py
@@ -14,9 +14,9 @@
 from uvicorn.protocols.http import flow_control, httptools_impl
 
 from magnoliaglade import exceptions
+from magnoliaglade.http._ledger import ConnectionLedger
 from magnoliaglade.http._limits import (
     HEADER_LINE_BYTES,
-    ConnectionLedger,
     ConnectionLimits,
     Rejection,
 )
--- a/magnoliaglade/http/_server.py
+++ b/magnoliaglade/http/_server.py
@@ -14,7 +14,8 @@
 from blacksheep.server import routing
 
 from magnoliaglade import base, exceptions
-from magnoliaglade.http._limits import ConnectionLedger, ConnectionLimits
+from magnoliaglade.http._ledger import ConnectionLedger
+from magnoliaglade.http._limits import ConnectionLimits
 from magnoliaglade.http._protocol import LimitedHttpProtocol
 
 Handler = Callable[[blacksheep.Request], Awaitable[blacksheep.Response]]
