Bound what the kernel receives for connections that wait

Callers lost the instance: while it was suspended or its loop was busy, up to 2,048 connections on each of the three listeners were received for, although none was accepted, and bytes that are not yet read count as memory of the process. Each takes up to 60 KB, so that three queues alone could hold more than twice the memory of the smallest instance.

The queue now follows from the memory of the machine, as the limit on accepted connections does: 0.75 a MB on the port for calls, half of it between instances, and 16 for the readiness check.

Test: an instance of 96 MB is suspended and 400 clients on each port send 64 KB.

--- a/magnoliaglade/http/_limits.py
+++ b/magnoliaglade/http/_limits.py
@@ -21,6 +21,9 @@
 # Connections per MB of memory. The receive buffers of 3 connections take at
 # most 0.2 MB if clients fill all of them.
 _CONNECTIONS_PER_MB = 3
+# Connections per MB of memory that may wait on one listener to be accepted.
+# Their receive buffers count as well.
+_QUEUED_PER_MB = 0.75
 # Share of the memory for bytes of requests and of unread responses.
 _BUFFERED_SHARE = 0.1
 _MB = 1_000_000
@@ -39,6 +42,7 @@
         max_connections: open connections of all listeners together.
         max_buffered_bytes: bytes of requests in progress and of unread
             responses of all connections together.
+        max_queued: connections that wait on one listener to be accepted.
     """
 
     max_header_bytes: int = 65_536
@@ -46,6 +50,7 @@
     idle_timeout_s: float = KEEP_ALIVE_S
     max_connections: int = 10_000
     max_buffered_bytes: int = 64 * _MB
+    max_queued: int = 2_048
 
     _parameter_constraints = {
         "max_header_bytes": [base.Interval(kind=int, low=256)],
@@ -53,6 +58,7 @@
         "idle_timeout_s": [base.Interval(kind=float, low=0, low_open=True)],
         "max_connections": [base.Interval(kind=int, low=1)],
         "max_buffered_bytes": [base.Interval(kind=int, low=1)],
+        "max_queued": [base.Interval(kind=int, low=1)],
     }
 
     def __post_init__(self) -> None:
@@ -79,6 +85,9 @@
                 memory_mb * _MB * _BUFFERED_SHARE
             )
             counts.append(memory_mb * _CONNECTIONS_PER_MB)
+            totals["max_queued"] = max(
+                1, min(self.max_queued, int(memory_mb * _QUEUED_PER_MB))
+            )
         if max_fds:
             available = max(0, max_fds - _FILE_DESCRIPTORS)
             counts.append(int(available * _CLIENT_DESCRIPTORS))
--- a/magnoliaglade/http/_server.py
+++ b/magnoliaglade/http/_server.py
@@ -27,8 +27,6 @@
 # Connections that are accepted in one step of the event loop. They take
 # descriptors before the limit on connections can close any.
 _ACCEPTED_AT_ONCE = 32
-# Connections that wait in the kernel to be accepted.
-_BACKLOG = 2_048
 _STARTUP_POLL_S = 0.005
 
 
@@ -63,6 +61,8 @@
         ledger: connections of all servers of the process; its own if None.
         limits: returns the limits of this server's connections; those of the
             ledger if None.
+        backlog: connections that wait in the kernel to be accepted; the limit
+            of the ledger if None. The kernel receives for them as well.
     """
 
     _parameter_constraints = {
@@ -80,6 +80,7 @@
         stop_timeout_s: float = 30.0,
         ledger: ConnectionLedger | None = None,
         limits: Callable[[], ConnectionLimits] | None = None,
+        backlog: int | None = None,
     ) -> None:
         self.application = application
         self.host = host
@@ -88,6 +89,7 @@
         self.stop_timeout_s = stop_timeout_s
         self.ledger = ledger
         self.limits = limits
+        self.backlog = backlog
         self._socket: socket.socket | None = None
         self._bound_port = 0
         self._server: _Server | None = None
@@ -138,7 +140,7 @@
             if self._serve_task.done():
                 raise HttpServerError("the server stopped during startup")
             await asyncio.sleep(_STARTUP_POLL_S)
-        self._socket.listen(_BACKLOG)
+        self._socket.listen(self.backlog or ledger.limits.max_queued)
 
     async def stop(self) -> None:
         """Stops accepting connections, then waits for requests in flight."""
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -50,6 +50,9 @@
 # Age of the configuration in seconds, that is the time since the store last
 # confirmed it, beyond which the instance is not ready.
 READY_MAX_CONFIGURATION_AGE_S = 2.5
+# Connections that wait on the listener of the readiness check, which the
+# platform calls about once a second.
+READINESS_BACKLOG = 16
 
 
 class Instance:
@@ -268,13 +271,26 @@
         )
         settings, limits = self.settings, self.client_limits
         readiness = job_api.readiness_application()
+        queued = limits.ledger.limits.max_queued
         listeners = (
-            (settings.api_address, job_api.application(), limits.callers),
-            (settings.readiness_address, readiness, limits.callers),
+            (
+                settings.api_address,
+                job_api.application(),
+                limits.callers,
+                queued,
+            ),
+            (
+                settings.readiness_address,
+                readiness,
+                limits.callers,
+                min(queued, READINESS_BACKLOG),
+            ),
             (
                 settings.internal_address,
                 self._internal_application(),
                 limits.instances,
+                # Instances open fewer connections than callers.
+                max(1, queued // 2),
             ),
         )
         return [
@@ -285,8 +301,9 @@
                 stop_timeout_s=1.0,
                 ledger=limits.ledger,
                 limits=listener_limits,
+                backlog=backlog,
             )
-            for address, application, listener_limits in listeners
+            for address, application, listener_limits, backlog in listeners
         ]
 
     def _observe_call(
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -65,19 +65,35 @@
 
 
 class Crowd:
-    """Connections to one address that send the same stream."""
+    """Connections to one address that send the same stream.
+
+    Attributes:
+        host: host of the address.
+        port: port of the address.
+        stream: returns the stream of the connection with a number.
+        connections: number of connections.
+        bytes_per_connection: bytes that each one sends unless it is closed.
+    """
 
     def __init__(
-        self, *, host: str, port: int, stream: Callable[[int], Stream]
+        self,
+        *,
+        host: str,
+        port: int,
+        stream: Callable[[int], Stream],
+        connections: int = CONNECTIONS,
+        bytes_per_connection: int = BYTES_PER_CONNECTION,
     ) -> None:
         self.host = host
         self.port = port
         self.stream = stream
+        self.connections = connections
+        self.bytes_per_connection = bytes_per_connection
         self._writers: list[asyncio.StreamWriter] = []
 
     async def send(self) -> None:
         """Sends on all connections, which then remain open."""
-        await asyncio.gather(*(self._send(n) for n in range(CONNECTIONS)))
+        await asyncio.gather(*(self._send(n) for n in range(self.connections)))
 
     def close(self) -> None:
         """Closes the connections."""
@@ -86,17 +102,20 @@
 
     async def _send(self, number: int) -> None:
         stream = self.stream(number)
-        reader, writer = await asyncio.open_connection(self.host, self.port)
-        self._writers.append(writer)
         reading = None
-        if stream.reads:
-            reading = asyncio.ensure_future(_discard(reader))
         repeats = _BLOCK_BYTES // len(stream.repeated) + 1
         block = stream.repeated * repeats
-        blocks = BYTES_PER_CONNECTION // len(block) + 1
-        # A closed connection is one of the allowed answers.
+        blocks = self.bytes_per_connection // len(block) + 1
+        # A closed connection is one of the allowed answers, and so is one that
+        # is never accepted.
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(SEND_S):
+                reader, writer = await asyncio.open_connection(
+                    self.host, self.port
+                )
+                self._writers.append(writer)
+                if stream.reads:
+                    reading = asyncio.ensure_future(_discard(reader))
                 writer.write(stream.start)
                 for _ in range(blocks):
                     writer.write(block)
--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -21,21 +21,6 @@
 ]
 
 
-@pytest.fixture
-async def start(tmp_path):
-    started = []
-
-    async def start(**options):
-        instance = served.Served(folder=tmp_path, **options)
-        started.append(instance)
-        await instance.start()
-        return instance
-
-    yield start
-    for instance in started:
-        await instance.stop()
-
-
 async def check(instance, port, stream):
     """Checks an instance while clients send a stream, and afterwards."""
     rest_mb, rest_descriptors = (
--- /dev/null
+++ b/tests/clients/test_machine.py
@@ -0,0 +1,82 @@
+"""Crowds of clients against the memory and the descriptors of a machine."""
+
+import asyncio
+import signal
+
+from tests.clients import crowd, served
+
+# The smallest instance, and one with less memory or fewer descriptors, so that
+# a small crowd would exceed them.
+SMALLEST = {"cpuShare": 1, "cores": 1, "memoryMb": 160, "maxFds": 1_638}
+LITTLE_MEMORY = SMALLEST | {"memoryMb": 96}
+BUSY = SMALLEST | {"memoryMb": 112}
+FEW_DESCRIPTORS = SMALLEST | {"maxFds": 320}
+# No silent connection of a test ends by its idle time.
+PATIENT = served.LIMITS | {"idleTimeoutMs": 60_000}
+# Memory above rest in MB that may remain after crowds.
+REST_MB = 12.0
+TIMEOUT_S = 30.0
+
+_LARGE_BODY = crowd.Stream(
+    start=b"POST /proofs/%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+    b"Authorization: Token a-key\r\nContent-Length: 262144\r\n\r\n" % 1,
+    repeated=b" " * 1_000,
+)
+_UNFINISHED_HEAD = crowd.Stream(repeated=b"GET / HTTP/1.1\r\n", reads=False)
+
+
+def gather_crowd(instance, port, stream, **options):
+    address = instance.addresses[port]
+    return crowd.Crowd(
+        host=address.host, port=address.port, stream=lambda _: stream, **options
+    )
+
+
+async def connect_silently(instance, count):
+    address = instance.addresses["calls"]
+    return [
+        await asyncio.open_connection(address.host, address.port)
+        for _ in range(count)
+    ]
+
+
+def abort(connections):
+    for _, writer in connections:
+        writer.transport.abort()
+
+
+async def wait_for(condition):
+    async with asyncio.timeout(TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.1)
+
+
+async def wait_until_serving(instance):
+    """Waits until an instance serves, which may first confirm what it knows."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while not await instance.is_serving():
+            await asyncio.sleep(0.1)
+
+
+class TestUnreadBytes:
+    async def test_suspended_instance_stays_within_its_memory(self, start):
+        """Guards against bytes that pile up while nothing is accepted."""
+        instance = await start(limits=LITTLE_MEMORY)
+        crowds = [
+            gather_crowd(
+                *(instance, port, _UNFINISHED_HEAD),
+                connections=400,
+                bytes_per_connection=65_536,
+            )
+            for port in instance.addresses
+        ]
+        instance.process.send_signal(signal.SIGSTOP)
+        try:
+            async with instance.sampled() as peaks:
+                await asyncio.gather(*(c.send() for c in crowds))
+            instance.process.send_signal(signal.SIGCONT)
+        finally:
+            for each in crowds:
+                each.close()
+        await wait_until_serving(instance)
+        assert peaks["memory_mb"] < LITTLE_MEMORY["memoryMb"]
