Keep the totals on clients within what the kernel allows

Callers got no answer from an instance whose settings left the limits out, or stated more descriptors than the kernel allows: 10,000 connections, or half of the stated descriptors, were accepted, silent clients took all descriptors, and accepting stopped. The entry process has no settings of limits and always used these defaults.

The totals now follow the smaller of the stated descriptors and the limit of the process, and without a stated memory that of the machine. A server without a ledger of its own, as in the entry process, uses the same totals.

Tests: processes with 320 descriptors, with settings that state no limits, empty ones or 1,638 descriptors, and the entry process, each with 400 silent clients.

--- a/magnoliaglade/http/_limits.py
+++ b/magnoliaglade/http/_limits.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from magnoliaglade import base
+from magnoliaglade import base, supervision
 
 # Longer than the idle timeout of clients, so that the client closes first and
 # no request arrives on a connection that the server is closing.
@@ -70,29 +70,35 @@
         self.validate_params()
 
     def for_machine(
-        self, *, memory_mb: int, max_fds: int
+        self, *, memory_mb: int = 0, max_fds: int = 0
     ) -> "ConnectionLimits":
-        """Returns limits whose totals fit a machine.
+        """Returns limits whose totals fit the machine and the process.
 
         Args:
-            memory_mb: memory of the machine in MB; 0 if it is not known.
-            max_fds: descriptors of the process; 0 if they are not known.
+            memory_mb: memory of the process in MB; 0 if it is not stated. The
+                totals then are those of these limits, or smaller ones that fit
+                the memory of the machine.
+            max_fds: stated descriptors of the process; 0 if there are none.
+                More than the kernel allows do not count.
         """
-        totals = {}
-        counts = [self.max_connections]
-        if memory_mb:
-            totals["max_buffered_bytes"] = int(
-                memory_mb * _MB * _BUFFERED_SHARE
+        available_mb = memory_mb or supervision.machine_memory_mb()
+        max_buffered_bytes = int(available_mb * _MB * _BUFFERED_SHARE)
+        if not memory_mb:
+            max_buffered_bytes = min(
+                max_buffered_bytes, self.max_buffered_bytes
             )
-            counts.append(memory_mb * _CONNECTIONS_PER_MB)
-            totals["max_queued"] = max(
-                1, min(self.max_queued, int(memory_mb * _QUEUED_PER_MB))
-            )
-        if max_fds:
-            available = max(0, max_fds - _FILE_DESCRIPTORS)
+        counts = [self.max_connections, available_mb * _CONNECTIONS_PER_MB]
+        fds = [n for n in (max_fds, supervision.descriptor_limit()) if n]
+        if fds:
+            available = max(0, min(fds) - _FILE_DESCRIPTORS)
             counts.append(int(available * _CLIENT_DESCRIPTORS))
-        totals["max_connections"] = max(1, min(counts))
-        return dataclasses.replace(self, **totals)
+        queued = min(self.max_queued, int(available_mb * _QUEUED_PER_MB))
+        return dataclasses.replace(
+            self,
+            max_connections=max(1, min(counts)),
+            max_buffered_bytes=max(1, max_buffered_bytes),
+            max_queued=max(1, queued),
+        )
 
 
 class Rejection(enum.Enum):
--- a/magnoliaglade/http/_server.py
+++ b/magnoliaglade/http/_server.py
@@ -58,7 +58,8 @@
             servers that must know their address before they serve.
         stop_timeout_s: time that `stop` leaves for requests in flight, rounded
             down to whole seconds, at least 1.
-        ledger: connections of all servers of the process; its own if None.
+        ledger: connections of all servers of the process; its own if None,
+            with the default limits as far as they fit the process.
         limits: returns the limits of this server's connections; those of the
             ledger if None.
         backlog: connections that wait in the kernel to be accepted; the limit
@@ -115,7 +116,9 @@
         self._socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
-        ledger = self.ledger or ConnectionLedger(limits=ConnectionLimits())
+        ledger = self.ledger or ConnectionLedger(
+            limits=ConnectionLimits().for_machine()
+        )
         protocol = functools.partial(
             LimitedHttpProtocol,
             ledger=ledger,
--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from tests.clients import crowd, served
 
 # The smallest instance, and one with less memory or fewer descriptors, so that
@@ -80,3 +82,58 @@
                 each.close()
         await wait_until_serving(instance)
         assert peaks["memory_mb"] < LITTLE_MEMORY["memoryMb"]
+
+
+class TestSettings:
+    @pytest.mark.parametrize("limits", [None, {}, SMALLEST])
+    async def test_descriptors_of_the_process_are_kept_to(self, start, limits):
+        """Guards against settings that allow more than the process has."""
+        instance = await start(
+            limits=limits,
+            configured=PATIENT,
+            max_fds=FEW_DESCRIPTORS["maxFds"],
+        )
+        connections = await connect_silently(instance, 400)
+        try:
+            assert await instance.is_serving()
+        finally:
+            abort(connections)
+
+    @pytest.mark.parametrize("name", ["endless body", "endless header lines"])
+    async def test_configuration_without_limits(self, start, name):
+        """Guards against a client that is bounded by the configuration only."""
+        instance = await start(limits=LITTLE_MEMORY, configured=None)
+        clients = gather_crowd(instance, "calls", crowd.STREAMS[name])
+        try:
+            async with instance.sampled() as peaks:
+                await clients.send()
+        finally:
+            clients.close()
+        assert await instance.is_serving()
+        assert peaks["memory_mb"] < LITTLE_MEMORY["memoryMb"]
+
+
+class TestEntryProcess:
+    async def test_silent_connections_leave_room_for_others(self, start_entry):
+        """Guards against defaults that allow more than the process has."""
+        entry = await start_entry(max_fds=FEW_DESCRIPTORS["maxFds"])
+        connections = await connect_silently(entry, 400)
+        try:
+            assert await entry.is_serving()
+        finally:
+            abort(connections)
+
+    @pytest.mark.parametrize("name", crowd.STREAMS)
+    async def test_endless_input(self, start_entry, name):
+        """Guards against a process that a few clients end by its memory."""
+        entry = await start_entry()
+        clients = gather_crowd(entry, "calls", crowd.STREAMS[name])
+        try:
+            async with entry.sampled() as peaks:
+                await clients.send()
+                assert await entry.is_serving()
+        finally:
+            clients.close()
+        assert entry.process.poll() is None
+        assert await entry.is_serving()
+        assert peaks["memory_mb"] < SMALLEST["memoryMb"]
