Apply smaller totals on clients to open connections

Callers could lose the process after new settings had lowered memoryMb or maxFds: the totals on clients were read at the start only. Even a smaller total would not have helped, as each new connection closed one other, so that their number stayed where it was.

Reloaded settings now replace the totals, and the ledger closes as many connections as exceed them, in the order that it used before. Connections with a request that has arrived as a whole stay open, and give way to later ones.

Test: 400 silent connections, then settings with 320 descriptors and SIGHUP.

--- a/magnoliaglade/http/_ledger.py
+++ b/magnoliaglade/http/_ledger.py
@@ -39,7 +39,6 @@
     that holds most.
 
     Attributes:
-        limits: limits in force; they may be replaced at any time.
         observe_rejection: called with the reason for each closed connection.
     """
 
@@ -49,7 +48,7 @@
         limits: ConnectionLimits,
         observe_rejection: Callable[[str], None] = lambda _: None,
     ) -> None:
-        self.limits = limits
+        self._limits = limits
         self.observe_rejection = observe_rejection
         # Takes every read; the loop has one thread, and a read is copied
         # before the next one.
@@ -59,19 +58,28 @@
         # Bytes of closed connections whose tasks may not have ended.
         self._leaving_bytes = 0
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Limits in force; smaller totals close connections at once.
+
+        Connections with a request that has arrived as a whole remain open.
+        """
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ConnectionLimits) -> None:
+        self._limits = limits
+        self._close_surplus()
+        self._close_largest()
+
     def add(self, connection: Connection) -> None:
-        """Adds a connection; closes one if there are too many."""
+        """Adds a connection; closes others, or this one, if there are too many.
+
+        Several are closed if requests kept as many open when the limit became
+        smaller.
+        """
         self._held_bytes[connection] = 0
-        if len(self._held_bytes) <= self.limits.max_connections:
-            return
-        others = [c for c in self._held_bytes if c is not connection]
-        candidates = [c for c in others if c.is_expendable] or [
-            c for c in others if c.is_pipelining
-        ]
-        chosen = min(
-            candidates, key=lambda c: c.waiting_rank, default=connection
-        )
-        chosen.reject(Rejection.TOO_MANY_CONNECTIONS)
+        self._close_surplus(newest=connection)
 
     def remove(self, connection: Connection) -> int:
         """Removes a connection; one that is not known is ignored.
@@ -118,6 +126,26 @@
             return
         self._held_bytes[connection] = held_bytes
         self._total_bytes += held_bytes - previous
+        self._close_largest()
+
+    def _close_surplus(self, newest: Connection | None = None) -> None:
+        """Closes connections beyond the limit, `newest` if no other can be."""
+        surplus = len(self._held_bytes) - self.limits.max_connections
+        if surplus <= 0:
+            return
+        others = sorted(
+            (c for c in self._held_bytes if c is not newest),
+            key=lambda c: c.waiting_rank,
+        )
+        candidates = [c for c in others if c.is_expendable]
+        candidates += [c for c in others if c.is_pipelining]
+        if newest is not None:
+            candidates.append(newest)
+        for chosen in candidates[:surplus]:
+            chosen.reject(Rejection.TOO_MANY_CONNECTIONS)
+
+    def _close_largest(self) -> None:
+        """Closes connections that hold most until the bytes are allowed."""
         while self._total_bytes > self.limits.max_buffered_bytes:
             chosen = self._largest()
             if chosen is None or not self._held_bytes[chosen]:
--- a/magnoliaglade/instance/_client_limits.py
+++ b/magnoliaglade/instance/_client_limits.py
@@ -43,6 +43,19 @@
         """
         return self._for_instances
 
+    def resize(self, *, memory_mb: int, max_fds: int) -> None:
+        """Applies the totals of new settings, also to open connections."""
+        self._default = http.ConnectionLimits().for_machine(
+            memory_mb=memory_mb, max_fds=max_fds
+        )
+        self._set(
+            dataclasses.replace(
+                self.ledger.limits,
+                max_connections=self._default.max_connections,
+                max_buffered_bytes=self._default.max_buffered_bytes,
+            )
+        )
+
     def apply(self, configuration: routing.Configuration) -> None:
         """Applies the limits of a configuration.
 
@@ -62,6 +75,13 @@
                 "client limits", state="not usable", reason=str(error)
             )
             return
+        self._set(limits)
+
+    def dump(self) -> dict[str, int]:
+        """Returns the number of connections and the bytes that they hold."""
+        return self.ledger.dump()
+
+    def _set(self, limits: http.ConnectionLimits) -> None:
         if limits == self.ledger.limits:
             return
         self.ledger.limits = limits
@@ -71,7 +91,3 @@
         observability.log_event(
             "client limits", state="in force", **dataclasses.asdict(limits)
         )
-
-    def dump(self) -> dict[str, int]:
-        """Returns the number of connections and the bytes that they hold."""
-        return self.ledger.dump()
--- a/magnoliaglade/instance/_instance.py
+++ b/magnoliaglade/instance/_instance.py
@@ -443,8 +443,8 @@
 ) -> None:
     """Reloads the settings on SIGHUP and when the file changes.
 
-    Of the new settings, only `revoke_s` and what is read from
-    `Instance.settings` at each use take effect without a restart.
+    Of the new settings, only `revoke_s`, the totals on clients and what is read
+    from `Instance.settings` at each use take effect without a restart.
     """
     while True:
         with contextlib.suppress(TimeoutError):
@@ -463,6 +463,9 @@
         if settings != instance.settings:
             instance.settings = settings
             instance.gateway.revoke_s = settings.bounds.revoke_s
+            instance.client_limits.resize(
+                memory_mb=settings.memory_mb, max_fds=settings.max_fds
+            )
         elif not was_requested:
             continue
         observability.log_event("settings", state="reloaded")
--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -99,6 +99,21 @@
         finally:
             abort(connections)
 
+    async def test_lower_totals_apply_to_open_connections(self, start):
+        """Guards against settings that take effect with the next start."""
+        instance = await start(limits=SMALLEST, configured=PATIENT)
+        connections = await connect_silently(instance, 400)
+        try:
+            instance.limits = FEW_DESCRIPTORS
+            instance.write_settings()
+            instance.process.send_signal(signal.SIGHUP)
+            await wait_for(
+                lambda: instance.descriptors() < FEW_DESCRIPTORS["maxFds"]
+            )
+            assert await instance.is_serving()
+        finally:
+            abort(connections)
+
     @pytest.mark.parametrize("name", ["endless body", "endless header lines"])
     async def test_configuration_without_limits(self, start, name):
         """Guards against a client that is bounded by the configuration only."""
