Apply changed times to clients that are waited for already

The times of open connections now follow the configuration, counted from when the waiting began, so that a change gives no client more time than a new one.

Test: 100 silent connections with an idle time of 300 s, then a configuration with 1 s.

--- a/magnoliaglade/http/_ledger.py
+++ b/magnoliaglade/http/_ledger.py
@@ -29,6 +29,9 @@
     def reject(self, reason: Rejection) -> None:
         """Closes the connection at once."""
 
+    def update_timeout(self) -> None:
+        """Applies changed limits to the time that the client still has."""
+
 
 class ConnectionLedger:
     """Connections of all listeners of a process and the bytes that they hold.
@@ -81,6 +84,11 @@
         self._held_bytes[connection] = 0
         self._close_surplus(newest=connection)
 
+    def update_timeouts(self) -> None:
+        """Applies changed times to the clients that are waited for."""
+        for connection in self._held_bytes:
+            connection.update_timeout()
+
     def remove(self, connection: Connection) -> int:
         """Removes a connection; one that is not known is ignored.
 
--- a/magnoliaglade/http/_protocol.py
+++ b/magnoliaglade/http/_protocol.py
@@ -96,6 +96,7 @@
         self._waiting_since_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_reason: Rejection | None = None
+        self._timer_since_s = 0.0
         self._unread_bytes = 0
 
     @property
@@ -195,6 +196,12 @@
         self._end(reason)
         self.transport.abort()
 
+    def update_timeout(self) -> None:
+        """Applies changed limits to the time that the client still has."""
+        if self._timer is not None and self._timer_reason is not None:
+            self._timer.cancel()
+            self._schedule_timeout(self._timer_reason)
+
     def on_message_begin(self) -> None:
         """Starts a message; a feed contains one message only."""
         self._messages_in_feed += 1
@@ -408,12 +415,18 @@
 
     def _start_timer(self, reason: Rejection) -> None:
         self._stop_timer()
+        self._timer_reason = reason
+        self._timer_since_s = self.loop.time()
+        self._schedule_timeout(reason)
+
+    def _schedule_timeout(self, reason: Rejection) -> None:
         limits = self.limits()
         delay_s = limits.idle_timeout_s
         if reason is Rejection.HEADER_TIMEOUT:
             delay_s = limits.header_timeout_s
-        self._timer_reason = reason
-        self._timer = self.loop.call_later(delay_s, self._on_timeout)
+        self._timer = self.loop.call_at(
+            self._timer_since_s + delay_s, self._on_timeout
+        )
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- a/magnoliaglade/instance/_client_limits.py
+++ b/magnoliaglade/instance/_client_limits.py
@@ -88,6 +88,7 @@
         self._for_instances = dataclasses.replace(
             limits, idle_timeout_s=self._default.idle_timeout_s
         )
+        self.ledger.update_timeouts()
         observability.log_event(
             "client limits", state="in force", **dataclasses.asdict(limits)
         )
--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -114,6 +114,21 @@
         finally:
             abort(connections)
 
+    async def test_shorter_times_apply_to_open_connections(self, start):
+        """Guards against a configuration that new connections follow only."""
+        instance = await start(
+            limits=SMALLEST, configured=PATIENT | {"idleTimeoutMs": 300_000}
+        )
+        rest = instance.descriptors()
+        connections = await connect_silently(instance, 100)
+        try:
+            instance.configured = PATIENT | {"idleTimeoutMs": 1_000}
+            await instance.configure()
+            await wait_for(lambda: instance.descriptors() < rest + 50)
+            assert await instance.is_serving()
+        finally:
+            abort(connections)
+
     @pytest.mark.parametrize("name", ["endless body", "endless header lines"])
     async def test_configuration_without_limits(self, start, name):
         """Guards against a client that is bounded by the configuration only."""
