Lower the totals on clients where tables leave little memory

The coordinator of a busy deployment could lose its process to clients that every other instance bears: the totals on clients are shares of the memory of the machine, whatever the process itself uses, and its tables take the rest.

The ledger now measures the resident memory of the process, at most every 0.25 s, and lowers the totals to what is left: half of it for what the kernel receives, a sixth for buffered bytes. 32 connections and the largest head remain in any case. An instance at rest keeps the totals that it had.

Test: an instance of 112 MB with 160,000 waiting tasks, 400 clients with bodies of 200 KB, 280 silent ones, and 400 more while it is suspended.

--- a/magnoliaglade/http/_ledger.py
+++ b/magnoliaglade/http/_ledger.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import functools
+import time
 from collections.abc import Callable
 from typing import Protocol
 
-from magnoliaglade import observability
+from magnoliaglade import observability, supervision
 from magnoliaglade.http._limits import ConnectionLimits, Rejection
 
 # Bytes that one read takes from a connection. All connections share the buffer,
 # and a connection keeps at most one read beyond the limits of its request.
 READ_BYTES = 16_384
+# Interval in seconds in which the memory of the process is measured.
+_MEASURE_INTERVAL_S = 0.25
 
 
 class Connection(Protocol):
@@ -56,7 +59,8 @@
         limits: ConnectionLimits,
         observe_rejection: Callable[[str], None] = lambda _: None,
     ) -> None:
-        self._limits = limits
+        self._limits = self._totals = limits
+        self._measure_at_s = 0.0
         self.observe_rejection = observe_rejection
         # Takes every read; the loop has one thread, and a read is copied
         # before the next one.
@@ -80,9 +84,25 @@
     @limits.setter
     def limits(self, limits: ConnectionLimits) -> None:
         self._limits = limits
+        self._measure_at_s = 0.0
         self._close_surplus()
         self._close_largest()
 
+    @property
+    def totals(self) -> ConnectionLimits:
+        """The limits, with totals that fit the memory that is left now."""
+        if not self._limits.memory_bytes:
+            return self._limits
+        now_s = time.monotonic()
+        if now_s >= self._measure_at_s:
+            self._measure_at_s = now_s + _MEASURE_INTERVAL_S
+            client_bytes = self._total_bytes + self._leaving_bytes
+            own_bytes = supervision.resident_bytes() - client_bytes
+            self._totals = self._limits.within(
+                self._limits.memory_bytes - own_bytes
+            )
+        return self._totals
+
     def add(self, connection: Connection) -> None:
         """Adds a connection; closes others, or this one, if there are too many.
 
@@ -125,7 +145,7 @@
         that hold more are closed for it, and their memory is not yet free. In
         one step of the event loop every connection may have sent a head.
         """
-        limit = self.limits.max_buffered_bytes
+        limit = self.totals.max_buffered_bytes
         while self._total_bytes + needed_bytes > limit:
             chosen = self._largest()
             is_larger = (
@@ -158,7 +178,7 @@
         surplus = (
             len(self._held_bytes)
             + len(self._abandoned)
-            - self.limits.max_connections
+            - self.totals.max_connections
         )
         while surplus > 0 and self._abandoned:
             self._cancel_oldest()
@@ -193,7 +213,7 @@
 
     def _close_largest(self) -> None:
         """Closes connections that hold most until the bytes are allowed."""
-        while self._total_bytes > self.limits.max_buffered_bytes:
+        while self._total_bytes > self.totals.max_buffered_bytes:
             chosen = self._largest()
             if chosen is None or not self._held_bytes[chosen]:
                 return
--- a/magnoliaglade/http/_limits.py
+++ b/magnoliaglade/http/_limits.py
@@ -13,6 +13,11 @@
 # take half a megabyte.
 HEADER_LINE_BYTES = 150
 
+# Least totals, however little memory is left: a few callers, and one head of
+# the default largest size with the shortest lines.
+_MIN_CONNECTIONS = 32
+_MIN_BUFFERED_BYTES = 65_536 + 65_536 // len(b"a:\r\n") * HEADER_LINE_BYTES
+
 # Descriptors that the settings reserve for files.
 _FILE_DESCRIPTORS = 200
 # Share of the descriptors for connections of clients. The others remain for
@@ -26,6 +31,14 @@
 _QUEUED_PER_MB = 0.75
 # Share of the memory for bytes of requests and of unread responses.
 _BUFFERED_SHARE = 0.1
+# Most that the kernel receives for a connection before it is read. It is more
+# than the receive buffer, which Linux doubles and fills with whole segments.
+_RECEIVED_BYTES = 61_440
+# Shares of the memory that the process leaves: for what the kernel receives,
+# and for buffered bytes. These take up to twice their size while a request is
+# parsed; the rest is a reserve.
+_FREE_RECEIVED_SHARE = 1 / 2
+_FREE_BUFFERED_SHARE = 1 / 6
 _MB = 1_000_000
 
 
@@ -43,6 +56,8 @@
         max_buffered_bytes: bytes of requests in progress and of unread
             responses of all connections together.
         max_queued: connections that wait on one listener to be accepted.
+        memory_bytes: memory of the process, 0 if it is not stated. The totals
+            are reduced while the process leaves too little of it.
     """
 
     max_header_bytes: int = 65_536
@@ -51,6 +66,7 @@
     max_connections: int = 10_000
     max_buffered_bytes: int = 64 * _MB
     max_queued: int = 2_048
+    memory_bytes: int = 0
 
     _parameter_constraints = {
         "max_header_bytes": [base.Interval(kind=int, low=256)],
@@ -59,6 +75,7 @@
         "max_connections": [base.Interval(kind=int, low=1)],
         "max_buffered_bytes": [base.Interval(kind=int, low=1)],
         "max_queued": [base.Interval(kind=int, low=1)],
+        "memory_bytes": [base.Interval(kind=int, low=0)],
     }
 
     def __post_init__(self) -> None:
@@ -98,6 +115,32 @@
             max_connections=max(1, min(counts)),
             max_buffered_bytes=max(1, max_buffered_bytes),
             max_queued=max(1, queued),
+            memory_bytes=memory_mb * _MB,
+        )
+
+    def within(self, free_bytes: int) -> "ConnectionLimits":
+        """Returns limits whose totals also fit what the process leaves.
+
+        A few callers are served however little that is.
+
+        Args:
+            free_bytes: memory that the process does not use for itself.
+        """
+        received_bytes = free_bytes * _FREE_RECEIVED_SHARE
+        # The queues of all listeners are at most twice the largest one.
+        connections = int(
+            received_bytes / _RECEIVED_BYTES - 2 * self.max_queued
+        )
+        buffered_bytes = int(free_bytes * _FREE_BUFFERED_SHARE)
+        return dataclasses.replace(
+            self,
+            max_connections=min(
+                self.max_connections, max(_MIN_CONNECTIONS, connections)
+            ),
+            max_buffered_bytes=min(
+                self.max_buffered_bytes,
+                max(_MIN_BUFFERED_BYTES, buffered_bytes),
+            ),
         )
 
 
--- a/magnoliaglade/http/tests/test_protocol.py
+++ b/magnoliaglade/http/tests/test_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import functools
 import json
 import random
@@ -363,9 +364,19 @@
         assert limits.max_buffered_bytes == 16_000_000
         few = http.ConnectionLimits().for_machine(memory_mb=552, max_fds=320)
         assert few.max_connections == 60
+        # At rest, and with tables that leave little.
+        assert limits.within(110_000_000) == limits
+        left = limits.within(30_000_000)
+        assert (left.max_connections, left.max_buffered_bytes) == (
+            32,
+            5_000_000,
+        )
+        assert limits.within(-1).max_buffered_bytes == 2_523_136
         assert http.ConnectionLimits().for_machine() == http.ConnectionLimits()
         kernel |= {"descriptor_limit": 1_638, "machine_memory_mb": 160}
-        assert http.ConnectionLimits().for_machine() == limits
+        assert http.ConnectionLimits().for_machine() == dataclasses.replace(
+            limits, memory_bytes=0
+        )
         beyond = http.ConnectionLimits().for_machine(
             memory_mb=100_000, max_fds=1_000_000
         )
--- a/magnoliaglade/instance/_client_limits.py
+++ b/magnoliaglade/instance/_client_limits.py
@@ -53,6 +53,7 @@
                 self.ledger.limits,
                 max_connections=self._default.max_connections,
                 max_buffered_bytes=self._default.max_buffered_bytes,
+                memory_bytes=self._default.memory_bytes,
             )
         )
 
@@ -78,8 +79,13 @@
         self._set(limits)
 
     def dump(self) -> dict[str, int]:
-        """Returns the number of connections and the bytes that they hold."""
-        return self.ledger.dump()
+        """Returns what the connections hold, and the totals in force."""
+        totals = self.ledger.totals
+        return {
+            **self.ledger.dump(),
+            "max_connections": totals.max_connections,
+            "max_buffered_bytes": totals.max_buffered_bytes,
+        }
 
     def _set(self, limits: http.ConnectionLimits) -> None:
         if limits == self.ledger.limits:
--- a/magnoliaglade/supervision/__init__.py
+++ b/magnoliaglade/supervision/__init__.py
@@ -4,6 +4,7 @@
 from magnoliaglade.supervision._resources import (
     descriptor_limit,
     machine_memory_mb,
+    resident_bytes,
 )
 from magnoliaglade.supervision._supervise import (
     Backoff,
@@ -18,4 +19,5 @@
     "descriptor_limit",
     "keep_running",
     "machine_memory_mb",
+    "resident_bytes",
 ]
--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 
+import orjson
 import pytest
 
 from tests.clients import crowd, served
@@ -85,6 +86,48 @@
         assert peaks["memory_mb"] < LITTLE_MEMORY["memoryMb"]
 
 
+class TestBusyCoordinator:
+    async def test_clients_get_what_its_tables_leave(self, start):
+        """Guards against totals that ignore what a process needs itself."""
+        instance = await start(limits=BUSY)
+        job = {"spec": "x", "steps": [{"count": 4_000, "cpu": 10_000_000}]}
+        for number in range(40):
+            reply = await instance.call(
+                *("POST", f"{served.PREFIX}{number:016x}"),
+                body=orjson.dumps(job),
+            )
+            assert reply.status == 200
+        bodies, unread = (
+            gather_crowd(
+                *(instance, "calls", stream),
+                connections=400,
+                bytes_per_connection=sent_bytes,
+            )
+            for stream, sent_bytes in (
+                (_LARGE_BODY, 200_000),
+                (_UNFINISHED_HEAD, 65_536),
+            )
+        )
+        silent = []
+        try:
+            async with instance.sampled() as peaks:
+                await bodies.send()
+                silent = await connect_silently(instance, 280)
+                assert await instance.is_serving()
+                instance.process.send_signal(signal.SIGSTOP)
+                for _, writer in silent:
+                    writer.write(_UNFINISHED_HEAD.repeated * 4_000)
+                await unread.send()
+            instance.process.send_signal(signal.SIGCONT)
+        finally:
+            abort(silent)
+            bodies.close()
+            unread.close()
+        await wait_until_serving(instance)
+        assert instance.process.poll() is None
+        assert peaks["memory_mb"] < BUSY["memoryMb"]
+
+
 class TestSettings:
     @pytest.mark.parametrize("limits", [None, {}, SMALLEST])
     async def test_descriptors_of_the_process_are_kept_to(self, start, limits):
