Take a rejected request as without a client at once

Operators saw a trace of an exception in the application, and rejected callers could cause a response of 500 to be prepared, where the ledger closed a connection and cancelled its request in the same step: the request did not yet count as disconnected, as the event loop reports the lost connection one step later.

A rejection now marks its request before the ledger learns of it, in one place for connections that are closed at once and for those that are answered.

--- a/magnoliaglade/http/_protocol.py
+++ b/magnoliaglade/http/_protocol.py
@@ -382,11 +382,6 @@
             self.reject(reason)
             return
         self._end(reason)
-        if self._is_in_progress:
-            # The request never arrives as a whole, so it must not be answered.
-            self.cycle.disconnected = True
-            self.cycle.waiting_for_100_continue = False
-            self.cycle.message_event.set()
         self.transport.write(
             httptools_impl.STATUS_LINE[status]
             + b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -400,6 +395,12 @@
         self._is_rejected = True
         self._stop_timer()
         self._pending = bytearray()
+        if self._is_in_progress:
+            # Its request is not answered any more, also before the event loop
+            # reports the connection as lost.
+            self.cycle.disconnected = True
+            self.cycle.waiting_for_100_continue = False
+            self.cycle.message_event.set()
         self._release()
         client = self.client[0] if self.client else ""
         self.ledger.record_rejection(reason, client)
