Answer bodies that are too large or unfinished without a trace

Operators found a trace of 25 lines and more in the log for each announcement that was too large, or whose client left before its end: the port between instances has handlers that do not catch these errors, and each was logged as unhandled, at no bounded rate. The client got 500.

The wrapper of every handler now answers 413 and 400.

Test: 50 clients of seven kinds on an instance, and of one on the entry process; each line that they cause must be an event of less than 1,000 bytes.

--- a/magnoliaglade/http/_server.py
+++ b/magnoliaglade/http/_server.py
@@ -6,6 +6,7 @@
 import json
 import socket
 from collections.abc import Awaitable, Callable, Iterator, Mapping
+from http import HTTPStatus
 from typing import Any
 
 import blacksheep
@@ -159,6 +160,9 @@
 ) -> blacksheep.Application:
     """Returns an application that serves the given routes.
 
+    A handler need not catch the errors of a body that is too large or does not
+    arrive as a whole.
+
     Args:
         routes: handler by method and path pattern, such as
             `("GET", "/v1/jobs/{job}")`; values of the pattern are in
@@ -187,7 +191,15 @@
 def _wrap_handler(handler: Handler) -> Handler:
     # The router sets attributes on its handlers; bound methods do not allow it.
     async def route(request: blacksheep.Request) -> blacksheep.Response:
-        return await handler(request)
+        try:
+            return await handler(request)
+        except BodyTooLargeError as error:
+            return json_response(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": str(error)}
+            )
+        except blacksheep.exceptions.MessageAborted:
+            # The client has gone, or was rejected; nobody reads the response.
+            return blacksheep.Response(HTTPStatus.BAD_REQUEST)
 
     return route
 
--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -248,3 +248,63 @@
         await wait_until_serving(instance)
         assert peaks["descriptors"] < FEW_DESCRIPTORS["maxFds"]
         assert peaks["memory_mb"] < SMALLEST["memoryMb"]
+
+
+class TestLogs:
+    @pytest.mark.parametrize(
+        ("port", "stream"),
+        [
+            ("calls", b"not a request\r\n\r\n"),
+            ("calls", b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\n\r\n"),
+            ("calls", b"GET /%ff%00\xff HTTP/1.1\r\n\r\n"),
+            (
+                "calls",
+                b"GET / HTTP/1.1\r\nConnection: upgrade\r\n"
+                b"Upgrade: websocket\r\n\r\n",
+            ),
+            (
+                "internal",
+                b"POST /intake HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd",
+            ),
+            (
+                "internal",
+                b"POST /intake HTTP/1.1\r\nContent-Length: 3000000\r\n\r\n"
+                + b"a" * 3_000_000,
+            ),
+            (
+                "internal",
+                b"POST /intake HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n",
+            ),
+        ],
+        ids=[
+            *("malformed", "target", "path", "upgrade"),
+            *("entry", "large entry", "unfinished entry"),
+        ],
+    )
+    async def test_lines_about_refused_clients(self, start, port, stream):
+        """Guards against logs that grow with what clients send.
+
+        Each line is an event, with neither a trace nor the client's bytes.
+        """
+        await self.check(await start(limits=SMALLEST), port, stream)
+
+    async def test_lines_of_the_entry_process(self, start_entry):
+        """Guards against traces of bodies that do not arrive as a whole."""
+        head = b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n"
+        await self.check(await start_entry(), "calls", head)
+
+    async def check(self, process, port, sent):
+        """Checks the log lines that clients who send this cause."""
+        path = process.folder / "log"
+        begin = path.stat().st_size
+        clients = gather_crowd(
+            *(process, port, crowd.Stream(start=sent, repeated=b"\r\n")),
+            bytes_per_connection=1,
+            connections=50,
+        )
+        await clients.send()
+        clients.close()
+        assert await process.is_serving()
+        for line in path.read_bytes()[begin:].splitlines():
+            assert orjson.loads(line)["message_type"]
+            assert len(line) < 1_000
