Bound the announcements that wait for a silent coordinator

An instance could run out of descriptors while it accepted many submissions and the coordinator did not answer: each stored job is announced by a call that holds a connection for up to 0.3 s, and nothing bounded their number.

At most 64 announcements are in flight. The coordinator's watch on the store finds the jobs that are not announced, as it did after an announcement that was lost.

Test: 200 submissions beside a coordinator that never answers. All 200 were in flight before, and 64 are now; later ones are announced again.

--- a/magnoliaglade/gateway/_gateway.py
+++ b/magnoliaglade/gateway/_gateway.py
@@ -42,6 +42,9 @@
 # Value of a withdrawal of a job that was refused, not cancelled: the caller may
 # submit it again.
 REFUSAL_VALUE = b"refused"
+# Announcements that wait for the coordinator at once. Each holds a connection
+# until its timeout if the coordinator is silent.
+MAX_ANNOUNCEMENTS = 64
 
 
 class CallOutcome(enum.Enum):
@@ -481,10 +484,13 @@
     def _announce_entry(self, key: str, value: bytes, revision: int) -> None:
         """Announces a stored entry without delaying the answer.
 
-        The coordinator learns of entries of the intake only.
+        The coordinator learns of entries of the intake only. Its watch finds
+        those that are not announced.
         """
         if not key.startswith(keys.INTAKE_PREFIX):
             return
+        if len(self._background) >= MAX_ANNOUNCEMENTS:
+            return
         entry = store.Entry(key=key, value=value, revision=revision)
         task = asyncio.ensure_future(self.announce(entry))
         self._background.add(task)
--- a/magnoliaglade/gateway/tests/test_gateway.py
+++ b/magnoliaglade/gateway/tests/test_gateway.py
@@ -356,6 +356,35 @@
         await harness.submit()
         assert announced == []
 
+    async def test_announcements_in_flight_are_bounded(self, harness):
+        """Guards against calls that pile up for a coordinator that is silent.
+
+        Each one holds a connection. The coordinator's watch finds the others.
+        """
+        in_flight, gate = [], asyncio.Event()
+
+        async def announce(entry):
+            in_flight.append(entry.key)
+            await gate.wait()
+
+        harness.gateway.announce = announce
+        for number in range(200):
+            result, _ = await harness.run(
+                harness.gateway.submit(
+                    job=JobId(f"{number:016x}"),
+                    queue=QUEUE,
+                    account=ACCOUNT,
+                    spec=SPEC,
+                    timeout_s=2.4,
+                )
+            )
+            assert result.outcome is CallOutcome.ACCEPTED
+        assert len(in_flight) == 64
+        gate.set()
+        await harness.clock.advance(0.1)
+        await harness.submit()
+        assert in_flight[-1] == keys.job_key(JOB)
+
     async def test_unanswered_announcement_does_not_delay_the_answer(
         self, harness
     ):
