Hold trailers that one read ends to their limit

A request whose trailers exceed the limit was refused or served, depending on how its bytes were split: bytes behind the last data were counted only while the body had not ended, so a section that arrived with its end in one read (up to 16 KB) was never counted.

Whole trailers are now counted as the parser reports them, so that the limit is the same for every split.

--- a/magnoliaglade/http/_protocol.py
+++ b/magnoliaglade/http/_protocol.py
@@ -25,6 +25,9 @@
 # Ends a head, and a chunked body with or without trailers. The parser rejects
 # line ends without a carriage return.
 _BLANK_LINE = b"\r\n\r\n"
+# Bytes of a header line besides its name and its value: a colon, a space and
+# the end of the line.
+_LINE_FRAMING_BYTES = 4
 # Limits of discarding what arrives after a rejection. Closing a connection with
 # unread bytes resets it, and the client might not read its response.
 _DISCARD_S = 1.0
@@ -95,6 +98,8 @@
         self._body_left: int | None = None
         # Bytes of a chunked body since the last data: headers and trailers.
         self._framing_bytes = 0
+        # Bytes of whole trailers of the current request.
+        self._trailer_bytes = 0
         self._last_fed = b""
         self._messages_in_feed = 0
         self._is_rejected = False
@@ -222,16 +227,18 @@
         super().on_message_begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header; trailers are ignored."""
-        if not self._is_in_body:
-            super().on_header(name, value)
+        """Adds a header; trailers are counted only."""
+        if self._is_in_body:
+            self._trailer_bytes += len(name) + len(value) + _LINE_FRAMING_BYTES
+            return
+        super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Starts the request, and prepares for its body."""
         super().on_headers_complete()
         self._is_in_body = True
         self._body_left = None
-        self._framing_bytes = 0
+        self._framing_bytes = self._trailer_bytes = 0
         self._last_fed = b""
         for name, value in self.headers:
             if name == b"content-length":
@@ -347,8 +354,10 @@
             self._last_fed = b"" if is_cut else tail
             self._framing_bytes += len(part)
         self._feed(part)
-        limit = self.limits().max_header_bytes
-        if self._is_in_body and self._framing_bytes > limit:
+        framing_bytes = self._framing_bytes if self._is_in_body else 0
+        # A section that one read ends is held to the same limit.
+        size = max(framing_bytes, self._trailer_bytes)
+        if size > self.limits().max_header_bytes:
             status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             self._refuse(Rejection.TRAILERS_TOO_LARGE, status)
         return True
--- a/magnoliaglade/http/tests/test_protocol.py
+++ b/magnoliaglade/http/tests/test_protocol.py
@@ -95,6 +95,15 @@
     return status, await reader.readexactly(size)
 
 
+async def feed(connection, *parts):
+    """Delivers each part to the server's end of a connection as one read."""
+    for part in parts:
+        while connection.flow.read_paused:
+            await asyncio.sleep(0)
+        connection.get_buffer(-1)[: len(part)] = part
+        connection.buffer_updated(len(part))
+
+
 async def wait_for(condition):
     async with asyncio.timeout(30.0):
         while not condition():
@@ -141,6 +150,33 @@
         assert echo.max_concurrent == 1
         assert echo.rejections == []
 
+    async def test_requests_are_served_if_split_at_any_byte(self, start):
+        """Guards against an end of a part that is searched for in one read."""
+        echo = await start()
+        stream = (
+            b"\r\n"
+            + post(b"a\r\n\r\nb")
+            + chunked(b"c\r\n\r\n", b"\r\nd", trailers=b"e: f\r\n")
+            + b"\r\n"
+            + chunked()
+            + post(b"g")
+        )
+        bodies = [b"a\r\n\r\nb", b"c\r\n\r\n\r\nd", b"", b"g"]
+        splits = [(stream[:n], stream[n:]) for n in range(1, len(stream))]
+        splits.append([bytes([b]) for b in stream])
+        for parts in splits:
+            reader, writer = await echo.connect()
+            await wait_for(lambda: echo.ledger.dump()["connections"] == 1)
+            (connection,) = echo.ledger._held_bytes
+            feeding = asyncio.ensure_future(feed(connection, *parts))
+            for body in bodies:
+                response = 200, json.dumps(body.decode()).encode()
+                assert await read_response(reader) == response, parts
+            await feeding
+            writer.close()
+            await wait_for(lambda: echo.ledger.dump()["connections"] == 0)
+        assert echo.rejections == []
+
     async def test_head_of_the_largest_size_is_served(self, start):
         """Guards against a limit that ends below its stated value."""
         echo = await start()
@@ -214,6 +250,39 @@
             "held_bytes": 0,
         }
 
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (b"POST /x HTTP/1.1\nHost: h\n\n", None),
+            (HEAD + b"a b\r\n\r\n", 400),
+            (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
+            (chunked(b"a")[:-5] + b"q\r\n\r\n", 400),
+            (HEAD[:-2] + b"\r\n" + b"a: b\r\n" * 200 + b"\r\n", 431),
+            (chunked()[:-2] + b"a: b\r\n" * 250 + b"\r\n", 431),
+        ],
+    )
+    async def test_input_is_refused_if_split_at_any_byte(
+        self, start, sent, status
+    ):
+        """Guards against refusals that depend on the size of a read."""
+        echo = await start(
+            limits=http.ConnectionLimits(
+                max_header_bytes=1_024, header_timeout_s=0.2
+            )
+        )
+        step = max(1, len(sent) // 100)
+        for n in range(1, len(sent), step):
+            reader, writer = await echo.connect()
+            await wait_for(lambda: echo.ledger.dump()["connections"] == 1)
+            (connection,) = echo.ledger._held_bytes
+            await feed(connection, sent[:n], sent[n:])
+            expected = status or 408
+            assert (await read_response(reader))[0] == expected, n
+            assert await reader.read() == b""
+            writer.close()
+            await wait_for(lambda: echo.ledger.dump()["connections"] == 0)
+        assert echo.served == 0
+
     @pytest.mark.parametrize(
         ("sent", "reason"),
         [
