Answer 504 to a submission that a planned stop interrupts

A caller whose submission waited for the store while its instance stopped was answered 500: the server cancels the requests that are left when its time is over, and uvicorn answers a cancelled request itself. The job may be stored, which 504 says and 500 does not.

The handler of callers now answers 504 when it is cancelled.

--- a/magnoliaglade/platform/_job_api.py
+++ b/magnoliaglade/platform/_job_api.py
@@ -1,5 +1,6 @@
 """HTTP API for callers that submit jobs, and the readiness check."""
 
+import asyncio
 import re
 import time
 from collections.abc import Callable
@@ -100,6 +101,10 @@
         except blacksheep.exceptions.MessageAborted:
             # The body has not arrived as a whole, and nobody reads the answer.
             return _empty_response(400)
+        except asyncio.CancelledError:
+            # The server ends the calls that are left when it stops. What they
+            # have sent to the store may take effect.
+            return _empty_response(504)
         except Exception as error:
             observability.log_event(
                 "error",
