Test memory after crowds in series, and the tables of large jobs

An instance gives back what 12 crowds in series took, three times over: memory is less than 12 MB above rest after each round.

Jobs that were accepted have to run, so the number of waiting tasks needs a bound at admission, which is not part of the limits on connections.

--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -127,6 +127,19 @@
         assert instance.process.poll() is None
         assert peaks["memory_mb"] < BUSY["memoryMb"]
 
+    async def test_tables_stay_within_the_memory(self, start):
+        """Guards against a client with a key that submits large jobs."""
+        instance = await start(limits=BUSY)
+        job = {"spec": "x", "steps": [{"count": 4_000, "cpu": 10_000_000}]}
+        async with instance.sampled() as peaks:
+            for number in range(100):
+                await instance.call(
+                    *("POST", f"{served.PREFIX}{number:016x}"),
+                    body=orjson.dumps(job),
+                )
+        await wait_until_serving(instance)
+        assert peaks["memory_mb"] < BUSY["memoryMb"]
+
 
 class TestSettings:
     @pytest.mark.parametrize("limits", [None, {}, SMALLEST])
@@ -250,6 +263,22 @@
         assert peaks["memory_mb"] < SMALLEST["memoryMb"]
 
 
+class TestSeries:
+    async def test_memory_is_given_back_after_each_crowd(self, start):
+        """Guards against memory that grows with the number of crowds."""
+        instance = await start(limits=SMALLEST)
+        rest_mb = instance.memory_mb("VmRSS")
+        for _ in range(3):
+            for stream in (*crowd.STREAMS.values(), _LARGE_BODY):
+                clients = gather_crowd(
+                    *(instance, "calls", stream), bytes_per_connection=1_000_000
+                )
+                await clients.send()
+                clients.close()
+            assert await instance.is_serving()
+            assert instance.memory_mb("VmRSS") - rest_mb < REST_MB
+
+
 class TestLogs:
     @pytest.mark.parametrize(
         ("port", "stream"),
