--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -28,16 +28,21 @@
     reads: bool = True
 
 
-def submission(prefix: str, key: str, host: str, number: int) -> bytes:
-    """Returns a complete submission of the job with this number."""
-    body = b'{"spec":"x","steps":[{"count":1,"cpu":10}]}'
+def request(method: str, path: str, key: str, host: str, body: bytes) -> bytes:
+    """Returns a complete request."""
     head = (
-        f"POST {prefix}{number:016x} HTTP/1.1\r\nHost: {host}\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
         f"Authorization: Token {key}\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
 
 
+def submission(prefix: str, key: str, host: str, number: int) -> bytes:
+    """Returns a complete submission of the job with this number."""
+    body = b'{"spec":"x","steps":[{"count":1,"cpu":10}]}'
+    return request("POST", f"{prefix}{number:016x}", key, host, body)
+
+
 _GET = b"GET / HTTP/1.1\r\n"
 _CHUNKED = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
--- a/tests/clients/test_machine.py
+++ b/tests/clients/test_machine.py
@@ -21,15 +21,21 @@
 REST_MB = 12.0
 TIMEOUT_S = 30.0
 
+# The largest body that the configuration allows, without its end.
 _LARGE_BODY = crowd.Stream(
-    start=b"POST /proofs/%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n"
-    b"Authorization: Token a-key\r\nContent-Length: 262144\r\n\r\n" % 1,
+    start=crowd.request(
+        "POST",
+        f"{served.PREFIX}{1:016x}",
+        served.KEY,
+        "127.0.0.1",
+        b" " * served.LIMITS["maxBodyBytes"],
+    ).rstrip(b" "),
     repeated=b" " * 1_000,
 )
 _UNFINISHED_HEAD = crowd.Stream(repeated=b"GET / HTTP/1.1\r\n", reads=False)
 
 
-def gather_crowd(instance, port, stream, **options):
+def make_crowd(instance, port, stream, **options):
     address = instance.addresses[port]
     return crowd.Crowd(
         host=address.host, port=address.port, stream=lambda _: stream, **options
@@ -44,6 +50,16 @@
     ]
 
 
+async def submit_large_jobs(instance, count):
+    """Submits jobs of many tasks that fit no worker; returns the replies."""
+    job = {"spec": "x", "steps": [{"count": 4_000, "cpu": 10_000_000}]}
+    body = orjson.dumps(job)
+    return [
+        await instance.call("POST", f"{served.PREFIX}{n:016x}", body=body)
+        for n in range(count)
+    ]
+
+
 def abort(connections):
     for _, writer in connections:
         writer.transport.abort()
@@ -67,8 +83,10 @@
         """Guards against bytes that pile up while nothing is accepted."""
         instance = await start(limits=LITTLE_MEMORY)
         crowds = [
-            gather_crowd(
-                *(instance, port, _UNFINISHED_HEAD),
+            make_crowd(
+                instance,
+                port,
+                _UNFINISHED_HEAD,
                 connections=400,
                 bytes_per_connection=65_536,
             )
@@ -90,16 +108,13 @@
     async def test_clients_get_what_its_tables_leave(self, start):
         """Guards against totals that ignore what a process needs itself."""
         instance = await start(limits=BUSY)
-        job = {"spec": "x", "steps": [{"count": 4_000, "cpu": 10_000_000}]}
-        for number in range(40):
-            reply = await instance.call(
-                *("POST", f"{served.PREFIX}{number:016x}"),
-                body=orjson.dumps(job),
-            )
-            assert reply.status == 200
+        replies = await submit_large_jobs(instance, 40)
+        assert {r.status for r in replies} == {200}
         bodies, unread = (
-            gather_crowd(
-                *(instance, "calls", stream),
+            make_crowd(
+                instance,
+                "calls",
+                stream,
                 connections=400,
                 bytes_per_connection=sent_bytes,
             )
@@ -130,13 +145,8 @@
     async def test_tables_stay_within_the_memory(self, start):
         """Guards against a client with a key that submits large jobs."""
         instance = await start(limits=BUSY)
-        job = {"spec": "x", "steps": [{"count": 4_000, "cpu": 10_000_000}]}
         async with instance.sampled() as peaks:
-            for number in range(100):
-                await instance.call(
-                    *("POST", f"{served.PREFIX}{number:016x}"),
-                    body=orjson.dumps(job),
-                )
+            await submit_large_jobs(instance, 100)
         await wait_until_serving(instance)
         assert peaks["memory_mb"] < BUSY["memoryMb"]
 
@@ -190,7 +200,7 @@
     async def test_configuration_without_limits(self, start, name):
         """Guards against a client that is bounded by the configuration only."""
         instance = await start(limits=LITTLE_MEMORY, configured=None)
-        clients = gather_crowd(instance, "calls", crowd.STREAMS[name])
+        clients = make_crowd(instance, "calls", crowd.STREAMS[name])
         try:
             async with instance.sampled() as peaks:
                 await clients.send()
@@ -214,7 +224,7 @@
     async def test_endless_input(self, start_entry, name):
         """Guards against a process that a few clients end by its memory."""
         entry = await start_entry()
-        clients = gather_crowd(entry, "calls", crowd.STREAMS[name])
+        clients = make_crowd(entry, "calls", crowd.STREAMS[name])
         try:
             async with entry.sampled() as peaks:
                 await clients.send()
@@ -243,11 +253,13 @@
                     address.host, address.port
                 )
                 writer.write(
-                    f"{method} {served.PREFIX}{number:016x} HTTP/1.1\r\n"
-                    f"Host: {address.host}\r\nAuthorization: Token "
-                    f"{served.KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
-                    "".encode()
-                    + body
+                    crowd.request(
+                        method,
+                        f"{served.PREFIX}{number:016x}",
+                        served.KEY,
+                        address.host,
+                        body,
+                    )
                 )
                 await writer.drain()
                 writer.close()
@@ -270,8 +282,8 @@
         rest_mb = instance.memory_mb("VmRSS")
         for _ in range(3):
             for stream in (*crowd.STREAMS.values(), _LARGE_BODY):
-                clients = gather_crowd(
-                    *(instance, "calls", stream), bytes_per_connection=1_000_000
+                clients = make_crowd(
+                    instance, "calls", stream, bytes_per_connection=1_000_000
                 )
                 await clients.send()
                 clients.close()
@@ -326,8 +338,10 @@
         """Checks the log lines that clients who send this cause."""
         path = process.folder / "log"
         begin = path.stat().st_size
-        clients = gather_crowd(
-            *(process, port, crowd.Stream(start=sent, repeated=b"\r\n")),
+        clients = make_crowd(
+            process,
+            port,
+            crowd.Stream(start=sent, repeated=b"\r\n"),
             bytes_per_connection=1,
             connections=50,
         )
