--- a/magnoliaglade/http/_ledger.py
+++ b/magnoliaglade/http/_ledger.py
@@ -77,7 +77,8 @@
     def limits(self) -> ConnectionLimits:
         """Limits in force; smaller totals close connections at once.
 
-        Connections with a request that has arrived as a whole remain open.
+        Connections with a request that has arrived as a whole remain open,
+        unless they pipeline.
         """
         return self._limits
 
