--- a/review/support-3/standins.py
+++ b/review/support-3/standins.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -29,9 +30,14 @@
 HOLD_MAX_MS = 6_000
 STOP_S = 0.2
 KEY = "key-of-tenant-1"
+OTHER_KEY = "key-of-tenant-2"
+# Keys of the tenants, and the accelerators that are guaranteed to each.
+TENANTS = ((KEY, 64), (OTHER_KEY, 48))
 PREFIX = "/lohu930/"
+URGENT_PREFIX = "/besa417/"
 HOST = "127.0.0.1"
 SERVICE = "trailplan"
+_PORTS = itertools.count(12_000 + os.getpid() % 200 * 60)
 # The figures of the page on deployments, for a small site.
 BOUNDS = {
     "seedLagS": 3,
@@ -344,8 +350,9 @@
         self._numbers = 0
         self._seq = 0
         self._change = asyncio.Event()
+        if not self._port:
+            (self._port,) = free_ports(1)
         await self.server.start(self._port)
-        self._port = self.server.port
         self.is_up = True
         self._tasks = [
             asyncio.create_task(self._report()),
@@ -424,6 +431,8 @@
             return 200, {}
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {}
+        if "fence" not in body:
+            return 400, {"clockMs": self.clock_ms()}
         if body["fence"] < self.fence:
             return 409, {"clockMs": self.clock_ms(), "reason": "fence"}
         self.fence = body["fence"]
@@ -586,14 +595,16 @@
             return int(line.split()[1]) / 1024
         return 0.0
 
-    async def call(self, method, target, fields=None, *, deadline_ms=3000):
+    async def call(
+        self, method, target, fields=None, *, deadline_ms=3000, key=KEY
+    ):
         """Calls the instance as a client; returns status and fields.
 
         The status is 0 if no complete answer arrived.
         """
         body = b"" if fields is None else json.dumps(fields).encode()
         head = f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n"
-        head += f"Authorization: Token {KEY}\r\nDeadline-Ms: {deadline_ms}\r\n"
+        head += f"Authorization: Token {key}\r\nDeadline-Ms: {deadline_ms}\r\n"
         head += f"Content-Type: application/json\r\nContent-Length: {len(body)}"
         writer = None
         try:
@@ -618,15 +629,17 @@
 
 
 def free_ports(count):
-    """Returns free ports on loopback."""
-    sockets = []
-    for _ in range(count):
-        found = socket.socket()
-        found.bind((HOST, 0))
-        sockets.append(found)
-    ports = [s.getsockname()[1] for s in sockets]
-    for found in sockets:
-        found.close()
+    """Returns free ports on loopback.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections, and are spread by process.
+    """
+    ports = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        with socket.socket() as found, contextlib.suppress(OSError):
+            found.bind((HOST, port))
+            ports.append(port)
     return ports
 
 
@@ -679,7 +692,10 @@
         return executor
 
     def configure(self):
-        """Writes the next version of the configuration."""
+        """Writes the next version of the configuration.
+
+        Both tenants may call both queues; the second queue is urgent.
+        """
         self._version += 7
         fields = {
             "version": self._version,
@@ -693,11 +709,25 @@
                     "maxAttempts": 4,
                     "stretch": 3.0,
                     "sloMs": 3000,
-                }
+                },
+                {
+                    "name": "route-quote",
+                    "host": HOST,
+                    "prefix": URGENT_PREFIX,
+                    "service": SERVICE,
+                    "priority": 0,
+                    "maxAttempts": 3,
+                    "stretch": 1.5,
+                    "sloMs": 250,
+                },
             ],
             "services": [{"name": SERVICE, "healthPath": "/health"}],
             "limits": {"maxBodyBytes": 262144},
-            "tenants": [{"name": "tenant-1", "apiKeys": [KEY]}],
+            "tenants": [
+                {"name": f"tenant-{n + 1}", "apiKeys": [key]}
+                | {"guaranteed": {"gpu": gpu}}
+                for n, (key, gpu) in enumerate(TENANTS)
+            ],
         }
         self.store.write([("op/config", json.dumps(fields).encode(), 0)])
 
